Add the workspace, the design page and the peer transport

Cause: the project needs one page that fixes roles, state, messages and failure handling before the parts are written side by side.

Ruled out: a share of each team's rate per listed VM, and ownership by hash of a member list, because two lists would give two owners. Lease groups elected by counting votes against a published maximum need no agreed list. A lease group by shard and replica index, because a repartition would move a target to another group while its former owner still holds it.

Before: nothing. A call with a silent connection opens a new one; a dropped call cancels its handler at the peer.

Conclusion: the interfaces stand; the modules behind them are empty.

--- /dev/null
+++ b/crates/limpet-adapters/src/lib.rs
@@ -0,0 +1,1 @@
+//! Adapters to the systems outside: configuration service, VM list, targets.
--- /dev/null
+++ b/crates/limpet-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks, load generator and capacity slopes.
--- /dev/null
+++ b/crates/limpet-config/src/model/mod.rs
@@ -0,0 +1,34 @@
+//! Compiled form of the operators' text.
+
+mod config;
+mod fleet;
+mod lookup;
+mod service;
+mod shard;
+mod target;
+mod team;
+mod zone;
+
+pub use config::{
+    Config,
+    TargetSite, //
+};
+pub use fleet::{
+    FRESHNESS_LIMIT_DEFAULT,
+    Fleet, //
+};
+pub use lookup::Lookup;
+pub use service::{
+    Service,
+    ServiceKind, //
+};
+pub use shard::Shard;
+pub use target::{
+    Target,
+    TargetState, //
+};
+pub use team::Team;
+pub use zone::{
+    Zone,
+    ZoneState, //
+};
--- /dev/null
+++ b/crates/limpet-decide/src/share/mod.rs
@@ -0,0 +1,5 @@
+//! Rate tokens held by an entry.
+
+mod shares;
+
+pub use shares::Shares;
--- /dev/null
+++ b/crates/limpet-fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for targets and for the platform's services.
--- /dev/null
+++ b/crates/limpet-peer/src/client.rs
@@ -0,0 +1,150 @@
+//! Calls to peers.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::Request;
+use limpet_types::{
+    codec,
+    message::{
+        PeerReply,
+        PeerRequest, //
+    },
+};
+use tokio::sync::Mutex;
+
+use crate::{
+    body::{
+        read_body,
+        write_body, //
+    },
+    connection::Connection,
+    error::{
+        PeerError,
+        PeerErrorKind, //
+    },
+};
+
+/// Longest wait for a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+type Slot = Arc<Mutex<Option<Arc<Connection>>>>;
+
+/// Calls peers over one shared connection each.
+///
+/// # Examples
+///
+/// ```
+/// # async fn example(client: limpet_peer::PeerClient) {
+/// use std::time::Duration;
+///
+/// use limpet_types::message::PeerRequest;
+///
+/// let peer = "127.0.0.1:7102".parse().unwrap();
+/// let reply = client.call(peer, &PeerRequest::Status, Duration::from_millis(200)).await;
+/// # }
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct PeerClient {
+    slots: Arc<Mutex<HashMap<SocketAddr, Slot>>>,
+}
+
+impl PeerClient {
+    /// Creates a client without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends one request and waits for its reply.
+    ///
+    /// Dropping the future resets the stream, which cancels the work at the peer.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::is_not_sent`] tells whether the peer certainly did not get the request.
+    pub async fn call(
+        &self,
+        peer: SocketAddr,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let body = codec::encode(request)
+            .map_err(|error| PeerError::new(PeerErrorKind::NotSent, peer, error))?;
+        let started = tokio::time::Instant::now();
+        let connection = self.connection(peer, timeout.min(CONNECT_TIMEOUT)).await?;
+        let sent_us = connection.elapsed_us();
+        let time_left = timeout.saturating_sub(started.elapsed());
+        match tokio::time::timeout(time_left, exchange(&connection, peer, body.into())).await {
+            Ok(result) => {
+                if result.is_err() {
+                    connection.retire();
+                }
+                result
+            }
+            Err(_) => {
+                if connection.retire_if_silent_since(sent_us) {
+                    tracing::info!(%peer, "silent peer connection replaced");
+                }
+                Err(PeerError::new(
+                    PeerErrorKind::Timeout,
+                    peer,
+                    "no reply within the time",
+                ))
+            }
+        }
+    }
+
+    /// Closes every connection and waits for their tasks.
+    pub async fn close(&self) {
+        let slots: Vec<Slot> = self.slots.lock().await.drain().map(|(_, s)| s).collect();
+        for slot in slots {
+            if let Some(connection) = slot.lock().await.take() {
+                connection.close().await;
+            }
+        }
+    }
+
+    /// Closes the connections to peers for which `keep` is false.
+    pub async fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
+        self.slots.lock().await.retain(|peer, _| keep(*peer));
+    }
+
+    async fn connection(
+        &self,
+        peer: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Arc<Connection>, PeerError> {
+        let slot = Arc::clone(self.slots.lock().await.entry(peer).or_default());
+        let mut slot = slot.lock().await;
+        if let Some(connection) = slot.as_ref().filter(|c| c.is_usable()) {
+            return Ok(Arc::clone(connection));
+        }
+        let connection = Arc::new(Connection::open(peer, timeout).await?);
+        *slot = Some(Arc::clone(&connection));
+        Ok(connection)
+    }
+}
+
+async fn exchange(
+    connection: &Connection,
+    peer: SocketAddr,
+    body: Bytes,
+) -> Result<PeerReply, PeerError> {
+    let not_sent = |error: h2::Error| PeerError::new(PeerErrorKind::NotSent, peer, error);
+    let broken = |error: h2::Error| PeerError::new(PeerErrorKind::Broken, peer, error);
+    let mut sender = connection.sender().ready().await.map_err(not_sent)?;
+    let request = Request::post("http://peer/")
+        .body(())
+        .map_err(|error| PeerError::new(PeerErrorKind::NotSent, peer, error))?;
+    let (reply, mut stream) = sender.send_request(request, false).map_err(not_sent)?;
+    write_body(&mut stream, body).await.map_err(broken)?;
+    let reply = reply.await.map_err(broken)?;
+    let body = read_body(reply.into_body()).await.map_err(broken)?;
+    connection.note_reply();
+    codec::decode(&body).map_err(|error| PeerError::new(PeerErrorKind::Codec, peer, error))
+}
--- /dev/null
+++ b/crates/limpet-proof/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model checks and history checks of the core protocols.
--- /dev/null
+++ b/crates/limpet-types/src/clock.rs
@@ -0,0 +1,38 @@
+//! Clock that keeps running while the machine is suspended.
+
+use std::time::Duration;
+
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
+
+/// Reads `CLOCK_BOOTTIME`.
+///
+/// `std::time::Instant` stops during a suspend, so a lease checked with it would look valid after a
+/// wake-up although the granter already gave the right to someone else.
+///
+/// # Examples
+///
+/// ```
+/// let clock = limpet_types::BootClock::new();
+/// assert!(clock.now() <= clock.now());
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl BootClock {
+    /// Creates a clock.
+    pub const fn new() -> Self {
+        Self
+    }
+
+    /// Returns the time since boot, suspends included.
+    pub fn now(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::new(
+            time.tv_sec.unsigned_abs(),
+            time.tv_nsec.unsigned_abs() as u32,
+        )
+    }
+}
--- /dev/null
+++ b/crates/limpet-types/src/lib.rs
@@ -0,0 +1,40 @@
+//! Identifiers, key ranges, refusal codes and peer messages.
+//!
+//! Everything here is plain data: no sockets and no runtime.
+
+pub mod clock;
+pub mod codec;
+pub mod hash;
+pub mod ids;
+pub mod key_range;
+pub mod message;
+pub mod node;
+pub mod refusal;
+
+pub use clock::BootClock;
+pub use ids::{
+    GroupId,
+    Incarnation,
+    IndexVersion,
+    LookupName,
+    RequestId,
+    Revision,
+    ServiceName,
+    ShardName,
+    TargetAddr,
+    TargetName,
+    TeamName,
+    Term,
+    ZoneName, //
+};
+pub use key_range::KeyRange;
+pub use node::{
+    NodeId,
+    NodeRecord,
+    Phase,
+    Role, //
+};
+pub use refusal::{
+    Refusal,
+    RefusalCode, //
+};
--- /dev/null
+++ b/crates/limpet-types/src/message/mod.rs
@@ -0,0 +1,44 @@
+//! Messages between limpetshunt processes.
+
+mod attempt;
+mod gossip;
+mod grant;
+mod order;
+mod peer;
+mod vote;
+
+pub use attempt::{
+    AttemptAnswer,
+    AttemptKind,
+    AttemptReply,
+    AttemptRequest, //
+};
+pub use gossip::{
+    ConfigText,
+    GossipReply,
+    GossipRequest,
+    ServiceReachability,
+    Strike, //
+};
+pub use grant::{
+    DirectoryEntry,
+    GrantReply,
+    GrantRequest,
+    OwnershipGrant,
+    TokenDemand,
+    TokenGrant, //
+};
+pub use order::{
+    ForwardOrderReply,
+    ForwardOrderRequest,
+    OrderOutcome, //
+};
+pub use peer::{
+    PeerReply,
+    PeerRequest,
+    StatusReply, //
+};
+pub use vote::{
+    VoteReply,
+    VoteRequest, //
+};
--- /dev/null
+++ b/crates/limpet-types/tests/codec.rs
@@ -0,0 +1,25 @@
+//! Guards against peers that trust malformed or foreign bytes.
+
+use limpet_types::{
+    codec,
+    message::PeerRequest, //
+};
+use proptest::prelude::*;
+
+limpet_testkit::cases! {
+    refuses:
+    trailing_bytes => vec![5, 0],
+    unknown_variant => vec![250],
+    nothing => vec![],
+}
+
+fn refuses(bytes: Vec<u8>) {
+    assert!(codec::decode::<PeerRequest>(&bytes).is_err());
+}
+
+proptest! {
+    #[test]
+    fn decoding_arbitrary_bytes_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let _ = codec::decode::<PeerRequest>(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/limpetctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The limpetshunt command-line tool.
--- /dev/null
+++ b/crates/limpetshuntd/src/blackboard/owned.rs
@@ -0,0 +1,24 @@
+//! Targets that this relay owns.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use limpet_types::TargetAddr;
+
+/// Targets with the boot time at which ownership ends.
+#[derive(Clone, Debug, Default)]
+pub struct Owned {
+    pub(crate) until: HashMap<TargetAddr, Duration>,
+}
+
+impl Owned {
+    /// Returns until when the target is owned, if it is owned at `now`.
+    pub fn until(&self, target: TargetAddr, now: Duration) -> Option<Duration> {
+        self.until
+            .get(&target)
+            .copied()
+            .filter(|until| now < *until)
+    }
+}
--- /dev/null
+++ b/crates/limpetshuntd/src/daemon.rs
@@ -0,0 +1,114 @@
+//! Start, drain and end of a process.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use limpet_peer::PeerClient;
+use limpet_types::{
+    NodeId,
+    Phase,
+    Role, //
+};
+use tokio::net::TcpListener;
+
+use crate::{
+    admin,
+    blackboard::Blackboard,
+    control,
+    controllers::Controllers,
+    entry, lease, peer_service, relay,
+    settings::{
+        RoleSettings,
+        Settings, //
+    },
+};
+
+/// Why a process could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address cannot be bound.
+    #[error("cannot listen on {addr}: {source}")]
+    Bind {
+        /// Address.
+        addr: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A controller did not start.
+    #[error("controller {name} did not start: {context}")]
+    Controller {
+        /// Name of the controller.
+        name: &'static str,
+        /// Cause.
+        context: Box<str>,
+    },
+}
+
+/// What every module of a process is given.
+#[derive(Clone, Debug)]
+pub struct Context {
+    /// Shared state.
+    pub board: Arc<Blackboard>,
+    /// Calls to peers.
+    pub peers: PeerClient,
+    /// Settings.
+    pub settings: Arc<Settings>,
+    /// State of the modules that answer peers and callers.
+    pub services: Arc<Services>,
+}
+
+/// State that a module keeps between requests; each module sets its own in `start`.
+#[derive(Debug, Default)]
+pub struct Services {}
+
+/// Runs a process until `shutdown` is ready, then drains it.
+///
+/// # Errors
+///
+/// Fails when the process cannot start.
+pub async fn run(settings: Settings, shutdown: impl Future<Output = ()>) -> Result<(), StartError> {
+    let common = settings.role.common();
+    let (role, port) = match &settings.role {
+        RoleSettings::Entry(_) => (Role::Entry, common.entry_peer_port),
+        RoleSettings::Relay(_) => (Role::Relay, common.relay_peer_port),
+    };
+    let addr = SocketAddr::new(common.ip, port);
+    let listener = TcpListener::bind(addr)
+        .await
+        .map_err(|source| StartError::Bind { addr, source })?;
+    let board = Blackboard::new(NodeId::new(addr, rand::random()), role, common.zone.clone());
+    let context = Context {
+        board,
+        peers: PeerClient::new(),
+        settings: Arc::new(settings),
+        services: Arc::new(Services::default()),
+    };
+    let mut controllers = Controllers::new();
+    admin::start(&context, &mut controllers).await?;
+    control::start(&context, &mut controllers).await?;
+    lease::start(&context, &mut controllers).await?;
+    match role {
+        Role::Entry => entry::start(&context, &mut controllers).await?,
+        Role::Relay => relay::start(&context, &mut controllers).await?,
+    }
+    let serving = context.clone();
+    let server = limpet_peer::serve(listener, move |request| {
+        peer_service::dispatch(serving.clone(), request)
+    });
+    tracing::info!(node = %context.board.node, ?role, "started");
+    shutdown.await;
+    tracing::info!("draining");
+    context.board.phase.send_replace(Phase::Draining);
+    match role {
+        Role::Entry => entry::drain(&context).await,
+        Role::Relay => relay::drain(&context).await,
+    }
+    lease::release(&context).await;
+    server.stop().await;
+    controllers.stop().await;
+    context.peers.close().await;
+    tracing::info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/limpetshuntd/src/lib.rs
@@ -0,0 +1,17 @@
+//! The limpetshunt daemon.
+//!
+//! Controllers read and write the [`Blackboard`]; each field has one writer.
+
+pub mod admin;
+pub mod blackboard;
+pub mod control;
+pub mod controllers;
+pub mod daemon;
+pub mod entry;
+pub mod lease;
+pub mod peer_service;
+pub mod relay;
+pub mod settings;
+
+pub use blackboard::Blackboard;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/limpetshuntd/src/main.rs
@@ -0,0 +1,55 @@
+//! Program entry point of the daemon.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use limpetshuntd::{
+    Settings,
+    daemon, //
+};
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+use tracing_subscriber::EnvFilter;
+
+/// Exit code for settings that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let settings = Settings::parse();
+    let filter = match EnvFilter::try_new(&*settings.role.common().log) {
+        Ok(filter) => filter,
+        Err(error) => {
+            eprintln!("error: invalid value for '--log': {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    tracing_subscriber::fmt()
+        .json()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .init();
+    let mut terminate = match signal(SignalKind::terminate()) {
+        Ok(signal) => signal,
+        Err(error) => {
+            tracing::error!(%error, "cannot listen for SIGTERM");
+            return ExitCode::FAILURE;
+        }
+    };
+    let shutdown = async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+    };
+    match daemon::run(settings, shutdown).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(%error, "cannot start");
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpetshuntd/src/settings.rs
@@ -0,0 +1,88 @@
+//! Settings of the daemon: each is a flag with an environment variable.
+
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
+
+use clap::{
+    Args,
+    Parser,
+    Subcommand, //
+};
+
+/// Query tier over many shards.
+#[derive(Clone, Debug, Parser)]
+#[command(name = "limpetshuntd", version)]
+pub struct Settings {
+    /// Role of this process.
+    #[command(subcommand)]
+    pub role: RoleSettings,
+}
+
+/// Role of a process.
+#[derive(Clone, Debug, Subcommand)]
+pub enum RoleSettings {
+    /// Serve callers.
+    Entry(EntrySettings),
+    /// Serve entries and own targets.
+    Relay(RelaySettings),
+}
+
+impl RoleSettings {
+    /// Returns the settings that both roles have.
+    pub const fn common(&self) -> &CommonSettings {
+        match self {
+            Self::Entry(entry) => &entry.common,
+            Self::Relay(relay) => &relay.common,
+        }
+    }
+}
+
+/// Settings of both roles.
+#[derive(Clone, Debug, Args)]
+pub struct CommonSettings {
+    /// IP address of this VM.
+    #[arg(long, env = "LIMPET_IP")]
+    pub ip: IpAddr,
+    /// Availability zone of this VM.
+    #[arg(long, env = "LIMPET_ZONE")]
+    pub zone: Box<str>,
+    /// Port on which every entry of the fleet serves its peers.
+    #[arg(long, env = "LIMPET_ENTRY_PEER_PORT", default_value_t = 7101)]
+    pub entry_peer_port: u16,
+    /// Port on which every relay of the fleet serves its peers.
+    #[arg(long, env = "LIMPET_RELAY_PEER_PORT", default_value_t = 7102)]
+    pub relay_peer_port: u16,
+    /// Address of the configuration service.
+    #[arg(long, env = "LIMPET_CONFIG_SERVICE")]
+    pub config_service: SocketAddr,
+    /// Address of the list of VMs.
+    #[arg(long, env = "LIMPET_VM_LIST")]
+    pub vm_list: SocketAddr,
+    /// Address for metrics, readiness and status.
+    #[arg(long, env = "LIMPET_ADMIN_ADDR")]
+    pub admin_addr: SocketAddr,
+    /// Log filter, for example "info" or "limpetshuntd=debug".
+    #[arg(long, env = "LIMPET_LOG", default_value = "info")]
+    pub log: Box<str>,
+}
+
+/// Settings of the entry role.
+#[derive(Clone, Debug, Args)]
+pub struct EntrySettings {
+    /// Settings of both roles.
+    #[command(flatten)]
+    pub common: CommonSettings,
+    /// Address on which callers are served.
+    #[arg(long, env = "LIMPET_CALLER_ADDR")]
+    pub caller_addr: SocketAddr,
+}
+
+/// Settings of the relay role.
+#[derive(Clone, Debug, Args)]
+pub struct RelaySettings {
+    /// Settings of both roles.
+    #[command(flatten)]
+    pub common: CommonSettings,
+}
