--- /dev/null
+++ b/crates/limpet-adapters/src/config_service/mod.rs
@@ -0,0 +1,1 @@
+//! Reads and watches the configuration service.
--- /dev/null
+++ b/crates/limpet-adapters/src/vm_list/mod.rs
@@ -0,0 +1,1 @@
+//! Reads the list of VMs.
--- /dev/null
+++ b/crates/limpet-decide/src/cold/mod.rs
@@ -0,0 +1,1 @@
+//! Limits of targets in cold start.
--- /dev/null
+++ b/crates/limpet-decide/src/fair/mod.rs
@@ -0,0 +1,1 @@
+//! Admission and fair queueing by team.
--- /dev/null
+++ b/crates/limpet-decide/src/freshness/mod.rs
@@ -0,0 +1,1 @@
+//! Evidence that the configuration is current.
--- /dev/null
+++ b/crates/limpet-decide/src/grant/mod.rs
@@ -0,0 +1,1 @@
+//! Rate tokens and target ownership at a coordinator.
--- /dev/null
+++ b/crates/limpet-decide/src/hedge/mod.rs
@@ -0,0 +1,1 @@
+//! Hedged attempts within a budget.
--- /dev/null
+++ b/crates/limpet-decide/src/lease/mod.rs
@@ -0,0 +1,1 @@
+//! Votes and election of the coordinator of a lease group.
--- /dev/null
+++ b/crates/limpet-decide/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Which relay is preferred for which target.
--- /dev/null
+++ b/crates/limpet-decide/src/plan/mod.rs
@@ -0,0 +1,1 @@
+//! Query plans and coverage.
--- /dev/null
+++ b/crates/limpet-decide/src/pool/mod.rs
@@ -0,0 +1,1 @@
+//! Connections of one target.
--- /dev/null
+++ b/crates/limpet-decide/src/replica/mod.rs
@@ -0,0 +1,1 @@
+//! Replica selection.
--- /dev/null
+++ b/crates/limpet-decide/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retries within a budget.
--- /dev/null
+++ b/crates/limpet-decide/src/revision/mod.rs
@@ -0,0 +1,1 @@
+//! Which revision of the configuration may replace which.
--- /dev/null
+++ b/crates/limpet-decide/src/snapshot/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of the index version of a query.
--- /dev/null
+++ b/crates/limpet-decide/src/ticket/mod.rs
@@ -0,0 +1,1 @@
+//! Order tickets.
--- a/crates/limpet-fakes/src/lib.rs
+++ b/crates/limpet-fakes/src/lib.rs
@@ -1,1 +1,4 @@
 //! Stand-ins for targets and for the platform's services.
+
+pub mod platform;
+pub mod target;
