--- /dev/null
+++ b/crates/limpet-adapters/src/target/mod.rs
@@ -0,0 +1,1 @@
+//! Client of targets.
