Parse and check the operators' text

Change: Config::parse reports every problem of a text with line, column, what is wrong and what would be right. Services, lookups, teams and targets are found through maps built once; team_by_key compares whole digests in constant time after a short digest prefix selects candidates. Ruled out: deriving serde types, which stops at the first fault; scanning all digests for each request, which costs more with each API key. Conclusion: one pass tells an operator everything; only syntax errors hide the checks of meaning.

--- a/crates/limpet-config/src/model/config.rs
+++ b/crates/limpet-config/src/model/config.rs
@@ -10,7 +10,8 @@
     Target,
     Team,
     Zone,
-    ZoneState, //
+    ZoneState,
+    index::Index, //
 };
 
 /// A target with the shard and service that it belongs to.
@@ -39,22 +40,52 @@
     pub services: Vec<Service>,
     /// Lookups.
     pub lookups: Vec<Lookup>,
+    pub(crate) index: Index,
 }
 
 impl Config {
+    pub(crate) fn new(
+        fleet: Fleet,
+        zones: Vec<Zone>,
+        teams: Vec<Team>,
+        services: Vec<Service>,
+        lookups: Vec<Lookup>,
+    ) -> Self {
+        Self {
+            fleet,
+            zones,
+            teams,
+            services,
+            lookups,
+            index: Index::default(),
+        }
+    }
+
+    /// Builds the index; called once when every check has passed.
+    pub(crate) fn with_index(mut self) -> Self {
+        self.index = Index::new(&self);
+        self
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
-        self.services.iter().find(|service| &*service.name == name)
+        self.index.services.get(name).map(|at| &self.services[*at])
     }
 
     /// Returns a lookup by name.
     pub fn lookup(&self, name: &str) -> Option<&Lookup> {
-        self.lookups.iter().find(|lookup| &*lookup.name == name)
+        self.index.lookups.get(name).map(|at| &self.lookups[*at])
     }
 
     /// Returns a team by name.
     pub fn team(&self, name: &str) -> Option<&Team> {
-        self.teams.iter().find(|team| &*team.name == name)
+        self.index.teams.get(name).map(|at| &self.teams[*at])
+    }
+
+    /// Returns the team that an API key belongs to.
+    pub fn team_by_key(&self, key: &[u8]) -> Option<&Team> {
+        let digest = *blake3::hash(key).as_bytes();
+        self.index.keys.team(&digest).map(|at| &self.teams[at])
     }
 
     /// Returns whether a zone is out; a zone that the text does not name is.
@@ -82,6 +113,14 @@
 
     /// Returns the target at an address.
     pub fn target(&self, addr: TargetAddr) -> Option<TargetSite<'_>> {
-        self.targets().find(|site| site.target.addr == addr)
+        let place = self.index.targets.get(&addr)?;
+        let service = &self.services[place.service];
+        let shard = &service.shards[place.shard];
+        Some(TargetSite {
+            service,
+            shard,
+            replica_index: place.replica,
+            target: &shard.targets[place.replica],
+        })
     }
 }
--- a/crates/limpet-config/src/model/mod.rs
+++ b/crates/limpet-config/src/model/mod.rs
@@ -2,6 +2,8 @@
 
 mod config;
 mod fleet;
+mod index;
+mod keys;
 mod lookup;
 mod service;
 mod shard;
--- a/crates/limpet-config/src/model/service.rs
+++ b/crates/limpet-config/src/model/service.rs
@@ -46,7 +46,11 @@
 impl Service {
     /// Returns the shard that holds a key.
     pub fn shard_of_key(&self, key: u64) -> Option<&Shard> {
-        self.shards.iter().find(|shard| shard.range.contains(key))
+        let after = self
+            .shards
+            .partition_point(|shard| shard.range.start <= key);
+        let shard = self.shards.get(after.checked_sub(1)?)?;
+        shard.range.contains(key).then_some(shard)
     }
 
     /// Returns a shard by name.
--- /dev/null
+++ b/crates/limpet-config/src/parse/fields.rs
@@ -0,0 +1,291 @@
+//! Typed access to the fields of one table.
+
+use std::ops::{
+    Range,
+    RangeInclusive, //
+};
+
+use toml::{
+    Spanned,
+    de::{
+        DeInteger,
+        DeTable,
+        DeValue, //
+    },
+};
+
+use crate::parse::Report;
+
+/// Longest name; names appear in URLs, headers and metric labels.
+const NAME_LENGTH_MAX: usize = 64;
+
+/// A string and where it is.
+#[derive(Clone, Debug)]
+pub(super) struct Located<'a> {
+    pub(super) text: &'a str,
+    pub(super) span: Range<usize>,
+}
+
+/// One table of the text.
+#[derive(Debug)]
+pub(super) struct Fields<'a, 't> {
+    table: &'a DeTable<'t>,
+    what: &'static str,
+    pub(super) span: Range<usize>,
+}
+
+impl<'a, 't> Fields<'a, 't> {
+    /// Wraps a table and reports its unknown fields.
+    pub(super) fn new(
+        report: &mut Report,
+        what: &'static str,
+        span: Range<usize>,
+        table: &'a DeTable<'t>,
+        known: &[&str],
+    ) -> Self {
+        let kind = if what == "text" { "section" } else { "field" };
+        for key in table.keys() {
+            if !known.contains(&key.get_ref().as_ref()) {
+                let known = known.iter().copied();
+                report.add_unknown(&key.span(), kind, key.get_ref(), known);
+            }
+        }
+        Self { table, what, span }
+    }
+
+    fn value(&self, name: &str) -> Option<&'a Spanned<DeValue<'t>>> {
+        self.table
+            .iter()
+            .find(|(key, _)| key.get_ref().as_ref() == name)
+            .map(|(_, value)| value)
+    }
+
+    /// Returns whether the field is present.
+    pub(super) fn has(&self, name: &str) -> bool {
+        self.value(name).is_some()
+    }
+
+    /// Returns where a field is, or the table if the field is missing.
+    pub(super) fn span_of(&self, name: &str) -> Range<usize> {
+        self.value(name).map_or(self.span.clone(), Spanned::span)
+    }
+
+    fn required(
+        &self,
+        report: &mut Report,
+        name: &str,
+        right: &str,
+    ) -> Option<&'a Spanned<DeValue<'t>>> {
+        let value = self.value(name);
+        if value.is_none() {
+            let wrong = format!("missing field {name:?} of this {}", self.what);
+            report.add(&self.span, wrong, format!("add {name} = {right}"));
+        }
+        value
+    }
+
+    /// Returns a string that must be present.
+    pub(super) fn text(&self, report: &mut Report, name: &str, right: &str) -> Option<Located<'a>> {
+        let value = self.required(report, name, right)?;
+        located(report, value, name, right)
+    }
+
+    /// Returns a name of the definition itself.
+    pub(super) fn name(&self, report: &mut Report) -> Option<Located<'a>> {
+        let right = "a name of letters, digits, '-', '_' and '.'";
+        let name = self.text(report, "name", right)?;
+        let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        let fits = (1..=NAME_LENGTH_MAX).contains(&name.text.len());
+        if fits && name.text.chars().all(is_allowed) {
+            return Some(name);
+        }
+        report.add(
+            &name.span,
+            format!("{:?} is not a usable name", name.text),
+            format!("use {right}, at most {NAME_LENGTH_MAX}"),
+        );
+        None
+    }
+
+    /// Returns a whole number within `range`; `default` stands for a missing field.
+    pub(super) fn integer(
+        &self,
+        report: &mut Report,
+        name: &str,
+        range: RangeInclusive<u64>,
+        default: Option<u64>,
+    ) -> Option<u64> {
+        let right = format!("a whole number from {} to {}", range.start(), range.end());
+        if default.is_some() && !self.has(name) {
+            return default;
+        }
+        let value = self.required(report, name, &right)?;
+        let number = match value.get_ref() {
+            DeValue::Integer(integer) => parse_integer(integer),
+            _ => None,
+        };
+        let number = number.filter(|number| range.contains(number));
+        if number.is_none() {
+            report.add(
+                &value.span(),
+                format!("impossible {name}"),
+                format!("use {right}"),
+            );
+        }
+        number
+    }
+
+    /// Returns a positive number, whole or not, up to `max`.
+    pub(super) fn positive(&self, report: &mut Report, name: &str, max: f64) -> Option<f64> {
+        let right = format!("a number above 0, up to {max}");
+        let value = self.required(report, name, &right)?;
+        let number = match value.get_ref() {
+            DeValue::Integer(integer) => parse_integer(integer).map(|number| number as f64),
+            DeValue::Float(float) => float.as_str().parse().ok(),
+            _ => None,
+        };
+        let number = number.filter(|number: &f64| *number > 0.0 && *number <= max);
+        if number.is_none() {
+            report.add(
+                &value.span(),
+                format!("impossible {name}"),
+                format!("use {right}"),
+            );
+        }
+        number
+    }
+
+    /// Returns true or false; `default` stands for a missing field.
+    pub(super) fn flag(&self, report: &mut Report, name: &str, default: bool) -> bool {
+        match self
+            .value(name)
+            .map(|value| (value.get_ref(), value.span()))
+        {
+            None => default,
+            Some((DeValue::Boolean(flag), _)) => *flag,
+            Some((_, span)) => {
+                report.add(
+                    &span,
+                    format!("{name} is not a boolean"),
+                    "use true or false",
+                );
+                default
+            }
+        }
+    }
+
+    /// Returns one of the named choices; `default` stands for a missing field.
+    pub(super) fn choice<T: Copy>(
+        &self,
+        report: &mut Report,
+        name: &str,
+        choices: &[(&str, T)],
+        default: Option<T>,
+    ) -> Option<T> {
+        if default.is_some() && !self.has(name) {
+            return default;
+        }
+        let names: Vec<String> = choices.iter().map(|(n, _)| format!("{n:?}")).collect();
+        let chosen = self.text(report, name, &names.join(" or "))?;
+        let found = choices.iter().find(|(name, _)| *name == chosen.text);
+        if found.is_none() {
+            let known = choices.iter().map(|(name, _)| *name);
+            report.add_unknown(&chosen.span, name, chosen.text, known);
+        }
+        found.map(|(_, choice)| *choice)
+    }
+
+    /// Returns a list of strings; a missing field is an empty list.
+    pub(super) fn strings(&self, report: &mut Report, name: &str) -> Vec<Located<'a>> {
+        let Some(value) = self.value(name) else {
+            return Vec::new();
+        };
+        let DeValue::Array(array) = value.get_ref() else {
+            let wrong = format!("{name} is not a list");
+            report.add(&value.span(), wrong, "use a list of strings, [\"..\"]");
+            return Vec::new();
+        };
+        array
+            .iter()
+            .filter_map(|item| located(report, item, name, "a string"))
+            .collect()
+    }
+
+    /// Returns a list of tables; a missing field is an empty list.
+    pub(super) fn tables(
+        &self,
+        report: &mut Report,
+        name: &'static str,
+        known: &[&str],
+    ) -> Vec<Fields<'a, 't>> {
+        let Some(value) = self.value(name) else {
+            return Vec::new();
+        };
+        let path = if self.what == "text" {
+            name.to_owned()
+        } else {
+            format!("{}.{name}", self.what)
+        };
+        let right = format!("write each as [[{path}]]");
+        let DeValue::Array(array) = value.get_ref() else {
+            report.add(
+                &value.span(),
+                format!("{name} is not a list of tables"),
+                right,
+            );
+            return Vec::new();
+        };
+        let mut tables = Vec::with_capacity(array.len());
+        for item in array.iter() {
+            match item.get_ref() {
+                DeValue::Table(table) => {
+                    tables.push(Fields::new(report, name, item.span(), table, known));
+                }
+                _ => report.add(
+                    &item.span(),
+                    format!("{name} is not a table"),
+                    right.clone(),
+                ),
+            }
+        }
+        tables
+    }
+
+    /// Returns a table, if it is present.
+    pub(super) fn table(
+        &self,
+        report: &mut Report,
+        name: &'static str,
+        known: &[&str],
+    ) -> Option<Fields<'a, 't>> {
+        let value = self.value(name)?;
+        let DeValue::Table(table) = value.get_ref() else {
+            let wrong = format!("{name} is not a table");
+            report.add(&value.span(), wrong, format!("write it as [{name}]"));
+            return None;
+        };
+        Some(Fields::new(report, name, value.span(), table, known))
+    }
+}
+
+fn located<'a>(
+    report: &mut Report,
+    value: &'a Spanned<DeValue<'_>>,
+    name: &str,
+    right: &str,
+) -> Option<Located<'a>> {
+    let span = value.span();
+    if let DeValue::String(text) = value.get_ref() {
+        return Some(Located { text, span });
+    }
+    report.add(
+        &span,
+        format!("{name} is not a string"),
+        format!("use {right}"),
+    );
+    None
+}
+
+fn parse_integer(integer: &DeInteger<'_>) -> Option<u64> {
+    u64::from_str_radix(integer.as_str(), integer.radix()).ok()
+}
--- /dev/null
+++ b/crates/limpet-config/src/parse/shards.rs
@@ -0,0 +1,163 @@
+//! Shards, their ranges and their targets.
+
+use std::{
+    net::SocketAddr,
+    ops::Range, //
+};
+
+use limpet_types::{
+    KeyRange,
+    key_range::KEY_SPACE_END, //
+};
+
+use crate::{
+    Shard, Target, TargetState, Zone,
+    parse::{
+        Fields,
+        Report,
+        Unique,
+        services::TargetsSeen, //
+    },
+};
+
+const STATES: [(&str, TargetState); 2] = [
+    ("live", TargetState::Live),
+    ("leaving", TargetState::Leaving),
+];
+
+/// Parses the shards of a service, in the order of their ranges.
+pub(super) fn parse_shards<'a>(
+    report: &mut Report,
+    service: &Fields<'a, '_>,
+    zones: &[Zone],
+    seen: &mut TargetsSeen<'a>,
+) -> Vec<Shard> {
+    let mut names = Unique::new("shard name of the service");
+    let mut shards = Vec::new();
+    let mut is_complete = true;
+    for fields in service.tables(report, "shard", &["name", "start", "end", "target"]) {
+        let name = fields.name(report);
+        let start = fields.integer(report, "start", 0..=KEY_SPACE_END - 1, None);
+        let end = fields.integer(report, "end", 1..=KEY_SPACE_END, None);
+        let targets = parse_targets(report, &fields, zones, seen);
+        let (Some(start), Some(end)) = (start, end) else {
+            is_complete = false;
+            continue;
+        };
+        let range = KeyRange::new(start, end);
+        if range.is_empty() {
+            report.add(
+                &fields.span_of("end"),
+                format!("the range {start}..{end} is empty"),
+                "use an end above the start",
+            );
+            is_complete = false;
+        }
+        let name = name.map_or("", |name| {
+            names.note(report, &name.span, name.text, name.text, name.text);
+            name.text
+        });
+        let shard = Shard {
+            name: name.into(),
+            range,
+            targets,
+        };
+        shards.push((fields.span.clone(), shard));
+    }
+    shards.sort_by_key(|(_, shard)| (shard.range.start, shard.range.end));
+    if is_complete {
+        check_ranges(report, &service.span, &shards);
+    }
+    shards.into_iter().map(|(_, shard)| shard).collect()
+}
+
+/// Reports gaps and overlaps; a wrong range elsewhere would make every neighbour look wrong, so
+/// this runs on right ranges only.
+fn check_ranges(report: &mut Report, service: &Range<usize>, shards: &[(Range<usize>, Shard)]) {
+    let mut covered_to = 0;
+    for (span, shard) in shards {
+        let KeyRange { start, end } = shard.range;
+        if start > covered_to {
+            let wrong = format!("no shard holds the keys {covered_to}..{start}");
+            report.add(
+                span,
+                wrong,
+                format!("use start = {covered_to} or add a shard"),
+            );
+        }
+        if start < covered_to {
+            let both = covered_to.min(end);
+            let wrong = format!("two shards hold the keys {start}..{both}");
+            report.add(span, wrong, format!("use start = {covered_to}"));
+        }
+        covered_to = covered_to.max(end);
+    }
+    if covered_to < KEY_SPACE_END {
+        let wrong = format!("no shard holds the keys {covered_to}..{KEY_SPACE_END}");
+        let right = "the shards of a service cover every key";
+        report.add(
+            shards.last().map_or(service, |(span, _)| span),
+            wrong,
+            right,
+        );
+    }
+}
+
+fn parse_targets<'a>(
+    report: &mut Report,
+    shard: &Fields<'a, '_>,
+    zones: &[Zone],
+    seen: &mut TargetsSeen<'a>,
+) -> Vec<Target> {
+    let known = ["name", "addr", "zone", "state"];
+    let tables = shard.tables(report, "target", &known);
+    if tables.is_empty() {
+        let right = "add a [[service.shard.target]]";
+        report.add(&shard.span, "the shard has no target", right);
+    }
+    let mut targets = Vec::with_capacity(tables.len());
+    for fields in tables {
+        let name = fields.name(report);
+        let owner = name.as_ref().map_or("", |name| name.text);
+        let addr = parse_addr(report, &fields);
+        let zone = fields.text(report, "zone", "the name of a zone");
+        let state = fields.choice(report, "state", &STATES, Some(TargetState::Live));
+        if let Some(zone) = &zone
+            && !zones.iter().any(|known| &*known.name == zone.text)
+        {
+            let known = zones.iter().map(|zone| &*zone.name);
+            report.add_unknown(&zone.span, "zone", zone.text, known);
+        }
+        if let Some(name) = &name {
+            seen.names
+                .note(report, &name.span, name.text, name.text, owner);
+        }
+        if let Some(addr) = addr {
+            let span = fields.span_of("addr");
+            seen.addrs.note(report, &span, addr, addr, owner);
+        }
+        if let (Some(name), Some(addr), Some(zone)) = (name, addr, zone) {
+            targets.push(Target {
+                name: name.text.into(),
+                addr,
+                zone: zone.text.into(),
+                state: state.unwrap_or(TargetState::Live),
+            });
+        }
+    }
+    targets
+}
+
+fn parse_addr(report: &mut Report, fields: &Fields<'_, '_>) -> Option<SocketAddr> {
+    let right = "an IP address and a port, \"10.0.0.1:8080\"";
+    let text = fields.text(report, "addr", right)?;
+    let addr = text.text.parse::<SocketAddr>().ok().filter(|addr| {
+        let ip = addr.ip();
+        addr.port() != 0 && !ip.is_unspecified() && !ip.is_multicast()
+    });
+    if addr.is_none() {
+        let wrong = format!("{:?} is not the address of a target", text.text);
+        report.add(&text.span, wrong, format!("use {right}"));
+    }
+    addr
+}
--- /dev/null
+++ b/crates/limpet-config/src/parse/teams.rs
@@ -0,0 +1,66 @@
+//! Teams and their API keys.
+
+use limpet_types::hash::LEASE_GROUPS;
+
+use crate::{
+    Team,
+    parse::{
+        Fields,
+        Report,
+        Unique, //
+    },
+};
+
+/// Highest rate and burst; far above the design load of 1.4 million queries a second.
+const RATE_MAX: u64 = 1_000_000_000;
+/// Highest weight; one round of deficit round robin grows with it.
+const WEIGHT_MAX: u64 = 1_000;
+/// Hex digits of a BLAKE3 digest.
+const DIGEST_DIGITS: usize = 64;
+
+/// Parses every team.
+///
+/// A burst is split over the lease groups, so a burst below their number could never give a whole
+/// token; it is refused.
+pub(super) fn parse_teams(report: &mut Report, root: &Fields<'_, '_>) -> Vec<Team> {
+    let known = ["name", "rate_per_s", "burst", "weight", "key_digests"];
+    let mut names = Unique::new("team name");
+    let mut digests = Unique::new("key digest");
+    let mut teams = Vec::new();
+    for fields in root.tables(report, "team", &known) {
+        let name = fields.name(report);
+        let owner = name.as_ref().map_or("", |name| name.text);
+        let rate_per_s = fields.positive(report, "rate_per_s", RATE_MAX as f64);
+        let burst = fields.integer(report, "burst", u64::from(LEASE_GROUPS)..=RATE_MAX, None);
+        let weight = fields.integer(report, "weight", 1..=WEIGHT_MAX, Some(1));
+        let mut key_digests = Vec::new();
+        for digest in fields.strings(report, "key_digests") {
+            let Some(bytes) = parse_digest(digest.text) else {
+                let right =
+                    format!("use the BLAKE3 digest of the API key, {DIGEST_DIGITS} hex digits");
+                report.add(&digest.span, "not a key digest", right);
+                continue;
+            };
+            digests.note(report, &digest.span, bytes, digest.text, owner);
+            key_digests.push(bytes);
+        }
+        if let Some(name) = name {
+            names.note(report, &name.span, name.text, name.text, name.text);
+            teams.push(Team {
+                name: name.text.into(),
+                rate_per_s: rate_per_s.unwrap_or_default(),
+                burst: burst.unwrap_or_default() as u32,
+                weight: weight.unwrap_or_default() as u32,
+                key_digests,
+            });
+        }
+    }
+    teams
+}
+
+fn parse_digest(text: &str) -> Option<[u8; 32]> {
+    if text.len() != DIGEST_DIGITS {
+        return None;
+    }
+    blake3::Hash::from_hex(text).ok().map(blake3::Hash::into)
+}
