--- a/crates/limpet-config/src/parse/lookups.rs
+++ b/crates/limpet-config/src/parse/lookups.rs
@@ -38,7 +38,7 @@
     services: &[Service],
     teams: &[Team],
 ) -> Vec<Lookup> {
-    let services: HashMap<&str, &Service> = services.iter().map(|s| (&*s.name, s)).collect();
+    let by_name: HashMap<&str, &Service> = services.iter().map(|s| (&*s.name, s)).collect();
     let known = ["name", "service", "kind", "depends_on", "teams"];
     let mut names = Unique::new("lookup name");
     let mut drafts = Vec::new();
@@ -52,9 +52,9 @@
         let depends_on = fields.strings(report, "depends_on");
         let allowed = parse_allowed(report, &fields, teams);
         let service = service_name.as_ref().and_then(|name| {
-            let service = services.get(name.text).copied();
+            let service = by_name.get(name.text).copied();
             if service.is_none() {
-                let known = services.keys().copied();
+                let known = services.iter().map(|service| &*service.name);
                 report.add_unknown(&name.span, "service", name.text, known);
             }
             service
@@ -72,7 +72,7 @@
                     teams: allowed,
                 },
                 depends_on,
-                is_open: services.get(service.text).is_some_and(|s| s.open),
+                is_open: by_name.get(service.text).is_some_and(|s| s.open),
             });
         }
     }
