Decide about revisions and freshness

Cause: nothing decides which text may replace which, or how long the one in force counts as current. Change: pure modules revision and freshness in limpet-decide. An invalid revision raises the floor for reads of the service but not for texts that a peer has in force, so that a process can start while the service holds an invalid text. Times count from before the read or call was sent. Ruled out: dropping the evidence when a new revision arrives; the new text is at least as new as what was current at that time.

--- a/crates/limpet-decide/src/freshness/mod.rs
+++ b/crates/limpet-decide/src/freshness/mod.rs
@@ -1,1 +1,7 @@
-//! Evidence that the configuration is current.
+//! Evidence that the configuration in force is current.
+
+mod evidence;
+mod peer_view;
+
+pub use evidence::Freshness;
+pub use peer_view::PeerAnswer;
--- a/crates/limpet-decide/src/revision/mod.rs
+++ b/crates/limpet-decide/src/revision/mod.rs
@@ -1,1 +1,10 @@
-//! Which revision of the configuration may replace which.
+//! Which revision of the operators' text may replace which.
+
+mod revisions;
+
+pub use revisions::{
+    Origin,
+    Revisions,
+    Seen,
+    Verdict, //
+};
