--- /dev/null
+++ b/crates/limpet-fakes/src/platform/server.rs
@@ -0,0 +1,169 @@
+//! The running stand-in.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::{
+        JoinHandle,
+        JoinSet, //
+    },
+};
+
+use crate::platform::{
+    CallCounts,
+    FakeVm,
+    FakeVms,
+    http::answer,
+    state::State, //
+};
+
+/// The platform; [`Platform::open`] makes it reachable.
+///
+/// # Examples
+///
+/// ```
+/// # async fn example() -> std::io::Result<()> {
+/// use limpet_fakes::platform::Platform;
+///
+/// let platform = Platform::new();
+/// platform.set_text("fleet.vms_max = 8\n");
+/// let frontend = platform.open("127.0.0.1:0".parse().unwrap()).await?;
+/// frontend.set_down(true);
+/// frontend.stop().await;
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct Platform {
+    state: Arc<State>,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Platform {
+    /// Creates a platform without text and VMs.
+    pub fn new() -> Self {
+        Self {
+            state: Arc::new(State::new()),
+        }
+    }
+
+    /// Sets the text and returns its revision, one above the last.
+    pub fn set_text(&self, text: &str) -> u64 {
+        self.state.push(text.as_bytes())
+    }
+
+    /// Sets the list of VMs.
+    pub fn set_vms(&self, vms: Vec<FakeVm>) {
+        self.state.lock().vms = FakeVms { vms };
+    }
+
+    /// Answers as it was `revisions` ago; 0 ends it.
+    pub fn set_stale(&self, revisions: usize) {
+        self.state.lock().stale_by = revisions;
+        self.state.notify();
+    }
+
+    /// Returns the calls of the configuration service so far.
+    pub fn calls(&self) -> CallCounts {
+        self.state.lock().calls.clone()
+    }
+
+    /// Serves both services on an address; several may be open, each can be down alone.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn open(&self, addr: SocketAddr) -> io::Result<Frontend> {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let down = watch::Sender::new(false);
+        let (stop, stopped) = watch::channel(false);
+        let state = Arc::clone(&self.state);
+        let serving = tokio::spawn(serve(listener, state, down.clone(), stopped));
+        Ok(Frontend {
+            addr,
+            down,
+            stop,
+            serving,
+        })
+    }
+}
+
+/// An address on which the platform is served.
+#[derive(Debug)]
+pub struct Frontend {
+    addr: SocketAddr,
+    down: watch::Sender<bool>,
+    stop: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+}
+
+impl Frontend {
+    /// Returns the address.
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Closes every connection, open and new, without an answer while `down`.
+    pub fn set_down(&self, down: bool) {
+        self.down.send_replace(down);
+    }
+
+    /// Stops serving and waits for every task.
+    pub async fn stop(self) {
+        self.stop.send_replace(true);
+        let _ = self.serving.await;
+    }
+}
+
+async fn serve(
+    listener: TcpListener,
+    state: Arc<State>,
+    down: watch::Sender<bool>,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let (state, down) = (Arc::clone(&state), down.clone());
+                connections.spawn(async move {
+                    let mut watched = down.subscribe();
+                    let service = service_fn(|request| answer(&state, &down, request));
+                    let connection = hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service);
+                    tokio::select! {
+                        _ = connection => {}
+                        () = went_down(&mut watched) => {}
+                    }
+                });
+            }
+            Some(_) = connections.join_next() => {}
+            _ = stopped.changed() => break,
+        }
+    }
+    connections.shutdown().await;
+}
+
+/// Waits until the frontend goes down; a connection opened while it is down is for the admin part.
+async fn went_down(watched: &mut watch::Receiver<bool>) {
+    while watched.changed().await.is_ok() {
+        if *watched.borrow() {
+            return;
+        }
+    }
+}
