Tell peers of a large text instead of pushing it

Cause: a node pushed a new text to three peers even if they had it already; a first text of 272 kB on 8 nodes led to 1.67 MB of gossip after it was in force everywhere (a_change_of_a_large_text_is_sent_as_a_difference failed). Change: a packed text above 16 KiB is not pushed; the peer is told of the revision and asks for the text. Ruled out: asking before every push, which adds a round trip to each small change.

--- a/crates/limpetshuntd/src/control/exchange.rs
+++ b/crates/limpetshuntd/src/control/exchange.rs
@@ -39,10 +39,16 @@
 /// and 10 exchanges asked and 10 answered a second came to 9.6 KB/s.
 const RECORDS_SAMPLED: usize = 2;
 
-/// Builds a request; `push` adds the text in force.
+/// Largest packed text that is pushed. Peers that have the text already get it again, so of a larger
+/// one they are told the revision only and ask for it.
+const PUSH_SIZE_MAX_BYTES: usize = 16 << 10;
+
+/// Builds a request; `push` adds the text in force, if it is small.
 pub(super) fn request(shared: &Shared, push: bool) -> GossipRequest {
     let (revision, digest) = in_force(shared);
-    let text = push.then(|| pack(shared, shared.with_texts(|texts| texts.previous())));
+    let text = push
+        .then(|| pack(shared, shared.with_texts(|texts| texts.previous())))
+        .map(|text| text.filter(|text| size_bytes(text) <= PUSH_SIZE_MAX_BYTES));
     GossipRequest {
         sender: shared.own_record(),
         revision,
@@ -149,6 +155,12 @@
     is_conflict
 }
 
+const fn size_bytes(text: &ConfigText) -> usize {
+    match text {
+        ConfigText::Full { compressed } | ConfigText::Delta { compressed, .. } => compressed.len(),
+    }
+}
+
 fn pack(shared: &Shared, base: Option<Revision>) -> Option<ConfigText> {
     match shared.with_texts(|texts| texts.pack(base)) {
         Ok(text) => text,
--- a/crates/limpetshuntd/tests/control.rs
+++ b/crates/limpetshuntd/tests/control.rs
@@ -244,6 +244,12 @@
         let request = traffic.request_bytes.load(Ordering::Relaxed);
         request + traffic.reply_bytes.load(Ordering::Relaxed)
     };
+    // Calls that carry the whole text may still be under way.
+    let settled = stack.traffic.exchanges.load(Ordering::Relaxed) + 100;
+    until("the first text is spread", || {
+        stack.traffic.exchanges.load(Ordering::Relaxed) >= settled
+    })
+    .await;
     let before = bytes();
     stack.platform.set_text(&large(4_001));
     all_have(&nodes, 3).await;
