Measure the spread of changes of a large text

Cause: the example measured a text of a few bytes only. Change: config_spread takes a number of API keys that make the text large. Ruled out: a second program.

--- a/crates/limpetshuntd/examples/config_spread.rs
+++ b/crates/limpetshuntd/examples/config_spread.rs
@@ -1,6 +1,7 @@
 //! Measures how long a change takes to be in force on 8 VMs, and the calls that this costs.
 //!
-//! `cargo run -p limpetshuntd --example config_spread -- 200`
+//! `cargo run -p limpetshuntd --example config_spread -- 200 0`: number of changes, and API keys in
+//! the text, 68 bytes each.
 
 #[path = "../tests/stack/mod.rs"]
 mod stack;
@@ -29,8 +30,13 @@
         .nth(1)
         .and_then(|count| count.parse().ok())
         .unwrap_or(200);
+    let keys: u32 = std::env::args()
+        .nth(2)
+        .and_then(|count| count.parse().ok())
+        .unwrap_or(0);
+    let keys = team(keys);
     let stack = Stack::new((82, 1), ZONES).await;
-    stack.platform.set_text(&text(VMS));
+    stack.platform.set_text(&format!("{}{keys}", text(VMS)));
     stack.list(0..VMS);
     let mut nodes = Vec::new();
     for vm in 0..VMS {
@@ -44,7 +50,9 @@
     let mut times = Vec::with_capacity(changes);
     let (started, before) = (Instant::now(), stack.platform.calls().total);
     for change in 0..changes {
-        let revision = stack.platform.set_text(&text(change + 1));
+        let revision = stack
+            .platform
+            .set_text(&format!("{}{keys}", text(change + 1)));
         let everywhere = || nodes.iter().all(|node| node.revision() >= revision);
         times.push(until("the change is in force", everywhere).await);
         tokio::time::sleep(PAUSE).await;
@@ -66,6 +74,14 @@
     stop_all(nodes).await;
 }
 
+fn team(keys: u32) -> String {
+    let digests: Vec<String> = (0..keys)
+        .map(|key| format!("\"{}\"", blake3::hash(&key.to_be_bytes())))
+        .collect();
+    let digests = digests.join(",\n");
+    format!("[[team]]\nname = \"t\"\nrate_per_s = 1\nburst = 4\nkey_digests = [{digests}]\n")
+}
+
 async fn calls_per_second(stack: &Stack, time: Duration) -> f64 {
     let before = stack.platform.calls().total;
     tokio::time::sleep(time).await;
