Add the stand-in target

The relay and every system test need targets that can be cold, crash, go silent or answer wrongly on demand.

--- /dev/null
+++ b/crates/limpet-fakes/src/target/control.rs
@@ -0,0 +1,110 @@
+//! Control endpoint: switches faults and reads counters over HTTP.
+
+use std::{
+    convert::Infallible,
+    sync::Arc, //
+};
+
+use bytes::Bytes;
+use http::{
+    Method,
+    Request,
+    Response, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpListener,
+    task::JoinSet, //
+};
+
+use crate::target::{
+    FakeTarget, //
+    Fault,
+};
+
+/// Why a control request was refused.
+#[derive(Debug, thiserror::Error)]
+pub enum ControlError {
+    /// No target has this name.
+    #[error("no target {name:?}")]
+    UnknownTarget {
+        /// Name asked for.
+        name: Box<str>,
+    },
+    /// The body is no fault.
+    #[error("body is not a fault: {0}")]
+    Fault(#[from] serde_json::Error),
+    /// The body was cut.
+    #[error("body was cut: {0}")]
+    Body(#[from] hyper::Error),
+}
+
+/// Serves `GET /stats/NAME`, `GET /events/NAME` and `POST /fault/NAME` with a [`Fault`] as JSON.
+///
+/// Runs until its future is dropped.
+pub async fn serve_control(listener: TcpListener, targets: Arc<Vec<FakeTarget>>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                let targets = Arc::clone(&targets);
+                connections.spawn(async move {
+                    let service = service_fn(|request| {
+                        let targets = Arc::clone(&targets);
+                        async move { Ok::<_, Infallible>(reply(&targets, request).await) }
+                    });
+                    let io = TokioIo::new(stream);
+                    if let Err(error) = http1::Builder::new().serve_connection(io, service).await {
+                        tracing::debug!(%error, "control connection ended");
+                    }
+                });
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn reply(targets: &[FakeTarget], request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, text) = match handle(targets, request).await {
+        Ok(text) => (200, text),
+        Err(error) => (400, error.to_string()),
+    };
+    let mut response = Response::new(Full::new(text.into()));
+    if status == 400 {
+        *response.status_mut() = http::StatusCode::BAD_REQUEST;
+    }
+    response
+}
+
+async fn handle(
+    targets: &[FakeTarget],
+    request: Request<Incoming>,
+) -> Result<String, ControlError> {
+    let path = request.uri().path().to_owned();
+    let mut parts = path.trim_start_matches('/').splitn(2, '/');
+    let (verb, name) = (
+        parts.next().unwrap_or_default(),
+        parts.next().unwrap_or_default(),
+    );
+    let target = targets.iter().find(|target| target.name() == name);
+    let target = target.ok_or_else(|| ControlError::UnknownTarget { name: name.into() })?;
+    if request.method() == Method::POST {
+        let body = request.into_body().collect().await?.to_bytes();
+        let fault: Fault = serde_json::from_slice(&body)?;
+        target.inject(fault);
+        return Ok("{}".into());
+    }
+    if verb == "events" {
+        return Ok(serde_json::to_string(&target.events())?);
+    }
+    Ok(serde_json::to_string(&target.stats())?)
+}
--- /dev/null
+++ b/crates/limpet-fakes/src/target/spec.rs
@@ -0,0 +1,130 @@
+//! Description of one stand-in target.
+
+use std::net::SocketAddr;
+
+use limpet_types::{
+    IndexVersion,
+    KeyRange, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Description of one stand-in target.
+///
+/// # Examples
+///
+/// ```
+/// use limpet_fakes::target::TargetSpec;
+///
+/// let spec = TargetSpec::new("a").with_slots(2);
+/// assert_eq!(spec.slots, 2);
+/// ```
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TargetSpec {
+    /// Name.
+    pub name: Box<str>,
+    /// Address to listen on; port 0 picks a free one.
+    pub addr: SocketAddr,
+    /// Name of the shard, for the event list.
+    pub shard: Box<str>,
+    /// Keys that the target holds.
+    pub range: KeyRange,
+    /// Index versions held; empty if the service has no snapshots.
+    pub versions_held: Vec<IndexVersion>,
+    /// Requests that run at a time; more are shed.
+    pub slots: u32,
+    /// Connections accepted; more are closed at once.
+    pub connections_max: u32,
+    /// Delay before a new connection is served.
+    pub connect_delay_ms: u64,
+    /// Usual service time.
+    pub service_time_us: u64,
+    /// Share of requests that take `straggler_factor` times as long.
+    pub straggler_share: f64,
+    /// Factor on the service time of a straggler.
+    pub straggler_factor: u32,
+    /// Seed of the service times and incarnations.
+    pub seed: u64,
+    /// Whether the target starts cold.
+    pub starts_cold: bool,
+    /// Requests borne at a time while cold; one more crashes the target.
+    pub cold_bears: u32,
+    /// Factor on the service time while cold.
+    pub cold_factor: u32,
+    /// Whole answers after which a cold target is warm.
+    pub cold_answers: u32,
+    /// Time between a crash and the next start.
+    pub restart_delay_ms: u64,
+    /// Requests with exactly this body crash the target.
+    pub poison: Option<Box<str>>,
+}
+
+impl Default for TargetSpec {
+    fn default() -> Self {
+        Self {
+            name: "target".into(),
+            addr: SocketAddr::from(([127, 0, 0, 1], 0)),
+            shard: "shard".into(),
+            range: KeyRange::full(),
+            versions_held: Vec::new(),
+            slots: 2,
+            connections_max: 25,
+            connect_delay_ms: 0,
+            service_time_us: 1_000,
+            straggler_share: 0.0,
+            straggler_factor: 10,
+            seed: 1,
+            starts_cold: false,
+            cold_bears: 1,
+            cold_factor: 5,
+            cold_answers: 10,
+            restart_delay_ms: 50,
+            poison: None,
+        }
+    }
+}
+
+impl TargetSpec {
+    /// Creates a warm target on a free loopback port.
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Sets the number of requests that run at a time.
+    pub const fn with_slots(mut self, slots: u32) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// Sets the usual service time.
+    pub const fn with_service_time_us(mut self, service_time_us: u64) -> Self {
+        self.service_time_us = service_time_us;
+        self
+    }
+
+    /// Makes the target start cold and bear `cold_bears` requests until `cold_answers` are answered.
+    pub const fn with_cold_start(mut self, cold_bears: u32, cold_answers: u32) -> Self {
+        self.starts_cold = true;
+        self.cold_bears = cold_bears;
+        self.cold_answers = cold_answers;
+        self
+    }
+
+    /// Makes requests with this body crash the target.
+    pub fn with_poison(mut self, poison: &str) -> Self {
+        self.poison = Some(poison.into());
+        self
+    }
+
+    /// Sets the index versions held.
+    pub fn with_versions(mut self, versions_held: &[IndexVersion]) -> Self {
+        self.versions_held = versions_held.to_vec();
+        self
+    }
+}
