--- /dev/null
+++ b/crates/limpet-adapters/src/target/headers.rs
@@ -0,0 +1,64 @@
+//! Reading of response headers.
+
+use std::str::FromStr;
+
+use http::HeaderMap;
+use limpet_types::{
+    IndexVersion,
+    KeyRange, //
+};
+
+use crate::target::{
+    ReportedState,
+    TargetReport, //
+};
+
+/// Returns a header as text.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, String> {
+    let value = headers.get(name).ok_or_else(|| format!("no {name}"))?;
+    value.to_str().map_err(|_| format!("{name} is not text"))
+}
+
+/// Returns a header as a number.
+pub(crate) fn number<T: FromStr>(headers: &HeaderMap, name: &'static str) -> Result<T, String> {
+    let value = text(headers, name)?;
+    let parsed = value.trim().parse();
+    parsed.map_err(|_| format!("{name} is no number: {value:?}"))
+}
+
+/// Returns what a response tells of its target.
+pub(crate) fn report(headers: &HeaderMap) -> Result<TargetReport, String> {
+    let state = match text(headers, "x-target-state")? {
+        "cold" => ReportedState::Cold,
+        "warm" => ReportedState::Warm,
+        "draining" => ReportedState::Draining,
+        other => return Err(format!("x-target-state is unknown: {other:?}")),
+    };
+    let versions_held = match headers.get("x-index-versions-held") {
+        None => Vec::new(),
+        Some(_) => versions(text(headers, "x-index-versions-held")?)?,
+    };
+    Ok(TargetReport {
+        state,
+        incarnation: number(headers, "x-target-incarnation")?,
+        versions_held,
+    })
+}
+
+fn versions(list: &str) -> Result<Vec<IndexVersion>, String> {
+    let items = list.split(',').map(str::trim).filter(|v| !v.is_empty());
+    items
+        .map(|item| item.parse())
+        .collect::<Result<_, _>>()
+        .map_err(|_| format!("x-index-versions-held is no list of numbers: {list:?}"))
+}
+
+/// Returns the key range that a response covers.
+pub(crate) fn range(headers: &HeaderMap) -> Result<KeyRange, String> {
+    let value = text(headers, "x-range")?;
+    let range = value.split_once('-').and_then(|(start, end)| {
+        let range = KeyRange::new(start.trim().parse().ok()?, end.trim().parse().ok()?);
+        (!range.is_empty()).then_some(range)
+    });
+    range.ok_or_else(|| format!("x-range is no range: {value:?}"))
+}
