--- a/crates/limpet-adapters/src/target/connection.rs
+++ b/crates/limpet-adapters/src/target/connection.rs
@@ -17,9 +17,11 @@
     BytesMut, //
 };
 use http::{
-    HeaderMap,
-    Response,
-    StatusCode, //
+    HeaderMap, Response, StatusCode,
+    header::{
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING, //
+    },
 };
 use http_body_util::{
     BodyExt,
@@ -175,6 +177,11 @@
         };
         self.progress.note();
         let (head, body) = response.into_parts();
+        // A body that ends with the connection has no announced length, so a cut would go unseen.
+        let has_length = head.headers.contains_key(CONTENT_LENGTH);
+        if !has_length && !head.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(fail(TargetErrorKind::Malformed, &"body has no length"));
+        }
         let body = self.read_body(body).await?;
         self.check(request, &Response::from_parts(head, ()), body)
     }
--- a/crates/limpet-decide/src/quarantine/mod.rs
+++ b/crates/limpet-decide/src/quarantine/mod.rs
@@ -3,6 +3,10 @@
 mod strike_table;
 
 pub use strike_table::{
+    STRIKE_TTL,
+    STRIKES_MAX,
+    STRIKES_QUARANTINE,
     StrikeTable,
-    Verdict, //
+    Verdict,
+    crash_id, //
 };
