--- a/crates/limpetshuntd/src/blackboard/owned.rs
+++ b/crates/limpetshuntd/src/blackboard/owned.rs
@@ -14,6 +14,12 @@
 }
 
 impl Owned {
+    /// Adds a target that is owned until a boot time.
+    pub fn with_target(mut self, target: TargetAddr, until: Duration) -> Self {
+        self.until.insert(target, until);
+        self
+    }
+
     /// Returns until when the target is owned, if it is owned at `now`.
     pub fn until(&self, target: TargetAddr, now: Duration) -> Option<Duration> {
         self.until
--- /dev/null
+++ b/crates/limpetshuntd/tests/relay/harness.rs
@@ -0,0 +1,226 @@
+//! A relay with owned stand-in targets.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use clap::Parser;
+use limpet_config::{
+    Config,
+    Fleet,
+    Service,
+    ServiceKind,
+    Shard,
+    Target,
+    TargetState,
+    Zone,
+    ZoneState, //
+};
+use limpet_fakes::target::{
+    FakeTarget,
+    TargetSpec, //
+};
+use limpet_peer::PeerClient;
+use limpet_types::{
+    KeyRange, NodeId, Phase, Role,
+    message::{
+        AttemptKind,
+        AttemptReply,
+        AttemptRequest, //
+    },
+};
+use limpetshuntd::{
+    Blackboard, Settings,
+    blackboard::{
+        InForce,
+        Owned, //
+    },
+    controllers::Controllers,
+    daemon::{
+        Context,
+        Services, //
+    },
+    relay,
+};
+
+/// Time after which a test counts as stuck.
+pub(crate) const STUCK: Duration = Duration::from_secs(30);
+/// Deadline of attempts that are meant to finish.
+pub(crate) const LONG: Duration = Duration::from_secs(3);
+
+pub(crate) struct Harness {
+    pub(crate) context: Context,
+    pub(crate) targets: Vec<FakeTarget>,
+    controllers: Controllers,
+    attempts: AtomicU32,
+    slots: u32,
+    cold_limit: u32,
+}
+
+impl Harness {
+    pub(crate) async fn start(specs: Vec<TargetSpec>, cold_limit: u32) -> Self {
+        let slots = specs[0].slots;
+        let mut targets = Vec::new();
+        for spec in specs {
+            targets.push(FakeTarget::start(spec).await.unwrap());
+        }
+        let addr = "127.0.0.1:1".parse().unwrap();
+        let board = Blackboard::new(NodeId::new(addr, 1), Role::Relay, "a".into());
+        let settings = Settings::parse_from([
+            "limpetshuntd",
+            "relay",
+            "--ip=127.0.0.1",
+            "--zone=a",
+            "--config-service=127.0.0.1:1",
+            "--vm-list=127.0.0.1:1",
+            "--admin-addr=127.0.0.1:1",
+        ]);
+        let context = Context {
+            board,
+            peers: PeerClient::new(),
+            settings: Arc::new(settings),
+            services: Arc::new(Services::default()),
+        };
+        let mut controllers = Controllers::new();
+        relay::start(&context, &mut controllers).await.unwrap();
+        let harness = Self {
+            context,
+            targets,
+            controllers,
+            attempts: AtomicU32::new(0),
+            slots,
+            cold_limit,
+        };
+        harness.configure(ZoneState::In, TargetState::Live);
+        let board = &harness.context.board;
+        board
+            .fresh_until_us
+            .store(u64::MAX / 2_000, Ordering::Release);
+        board.phase.send_replace(Phase::Serving);
+        harness.own_all(Duration::from_secs(3_600));
+        harness.ready().await;
+        harness
+    }
+
+    /// Puts a text in force with every target in this state.
+    pub(crate) fn configure(&self, zone: ZoneState, state: TargetState) {
+        let targets = self.targets.iter().map(|target| Target {
+            name: target.name().into(),
+            addr: target.addr(),
+            zone: "a".into(),
+            state,
+        });
+        let shard = Shard {
+            name: "shard".into(),
+            range: KeyRange::full(),
+            targets: targets.collect(),
+        };
+        let service = Service {
+            name: "service".into(),
+            kind: ServiceKind::Search,
+            open: false,
+            snapshot: false,
+            slots: self.slots,
+            connections_max: 25,
+            cold_limit: self.cold_limit,
+            hedge: true,
+            attempts_max: 2,
+            shards: vec![shard],
+        };
+        let config = Config {
+            fleet: Fleet {
+                vms_max: 3,
+                freshness_limit: Duration::from_secs(4),
+            },
+            zones: vec![Zone {
+                name: "a".into(),
+                state: zone,
+            }],
+            teams: Vec::new(),
+            services: vec![service],
+            lookups: Vec::new(),
+        };
+        let revision = self.context.board.in_force().map_or(1, |f| f.revision + 1);
+        self.context.board.config.store(Some(Arc::new(InForce {
+            revision,
+            digest: [0; 32],
+            text: "".into(),
+            config,
+        })));
+    }
+
+    /// Owns every target for this long.
+    pub(crate) fn own_all(&self, ttl: Duration) {
+        let until = self.context.board.now() + ttl;
+        let mut owned = Owned::default();
+        for target in &self.targets {
+            owned = owned.with_target(target.addr(), until);
+        }
+        self.context.board.owned.store(Arc::new(owned));
+    }
+
+    /// Waits until the relay has opened a connection to each target.
+    async fn ready(&self) {
+        for target in &self.targets {
+            let opened = target.wait_until(|t| t.stats().connections > 0);
+            tokio::time::timeout(STUCK, opened).await.unwrap();
+        }
+    }
+
+    /// Builds an attempt at a target.
+    pub(crate) fn request(&self, target: usize, body: &str) -> AttemptRequest {
+        let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
+        AttemptRequest {
+            request_id: u128::from(attempt) + 1,
+            attempt,
+            team: "team".into(),
+            service: "service".into(),
+            shard: "shard".into(),
+            target: self.targets[target].name().into(),
+            kind: AttemptKind::Search,
+            range: KeyRange::full(),
+            snapshot: None,
+            time_left: LONG,
+            fingerprint: limpet_types::hash::stable_hash(body.as_bytes()),
+            body: body.as_bytes().to_vec(),
+        }
+    }
+
+    pub(crate) async fn send(&self, request: AttemptRequest) -> AttemptReply {
+        let sent = request.clone();
+        let reply = relay::handle_attempt(&self.context, request);
+        let reply = tokio::time::timeout(STUCK, reply).await.unwrap().unwrap();
+        assert!(reply.belongs_to(&sent));
+        reply
+    }
+
+    /// Sends distinct attempts one after the other until one succeeds.
+    pub(crate) async fn recover(&self, target: usize) -> AttemptReply {
+        loop {
+            let reply = self.send(self.request(target, "recover")).await;
+            if reply.outcome.is_ok() {
+                return reply;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
+    pub(crate) async fn stop(self) {
+        self.controllers.stop().await;
+        for target in self.targets {
+            target.stop().await;
+        }
+    }
+}
+
+/// Returns the request id as the target sees it.
+pub(crate) fn id_text(request: &AttemptRequest) -> String {
+    format!("{:032x}", request.request_id)
+}
--- /dev/null
+++ b/crates/limpetshuntd/tests/relay/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the relay against stand-in targets in the same process.
+
+mod cold;
+mod connections;
+mod harness;
+mod poison;
+mod rights;
