Let the stand-in target run on after a cancel

The test on cancelled attempts at a cold target passed even when the relay did not count them, because the stand-in stopped at the closed connection.

Add a lag after a cancel to the stand-in and use it in the test, which now fails when abandoned attempts are not counted (tried by removing them).

--- a/crates/limpet-fakes/src/target/answer.rs
+++ b/crates/limpet-fakes/src/target/answer.rs
@@ -32,12 +32,39 @@
 /// Body of an answer; boxed so that a wrong length can be announced.
 type AnswerBody = BoxBody<Bytes, Infallible>;
 
-/// Counts the request out when it ends or is cancelled.
-struct Running(Arc<State>);
+/// Counts the request out when it ends, or some time after it was cancelled.
+struct Running {
+    state: Arc<State>,
+    life: u64,
+    is_ended: bool,
+}
+
+impl Running {
+    fn new(state: &Arc<State>, life: u64) -> Self {
+        Self {
+            state: Arc::clone(state),
+            life,
+            is_ended: false,
+        }
+    }
+
+    fn end(mut self) {
+        self.is_ended = true;
+    }
+}
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.0.left();
+        let (state, life) = (Arc::clone(&self.state), self.life);
+        let lag = Duration::from_millis(state.spec.cancel_lag_ms);
+        if self.is_ended || lag.is_zero() {
+            return state.left(life);
+        }
+        // Not joined: it only counts, and a stopped target no longer looks at the count.
+        tokio::spawn(async move {
+            tokio::time::sleep(lag).await;
+            state.left(life);
+        });
     }
 }
 
@@ -79,23 +106,23 @@
     let poison = state.spec.poison.as_ref();
     let poison = poison.is_some_and(|poison| poison.as_bytes() == &body[..]);
     let arrival = state.arrive(Asked { event, poison });
-    let (index, time) = match arrival {
+    let (index, time, life) = match arrival {
         Arrival::Refuse { status } => {
             return Ok(respond(&state, status, &request_id, &attempt, Bytes::new()));
         }
         Arrival::Crash => {
-            let _running = Running(Arc::clone(&state));
             state.crash();
             return std::future::pending().await;
         }
-        Arrival::Run { index, time } => (index, time),
+        Arrival::Run { index, time, life } => (index, time, life),
     };
-    let running = Running(Arc::clone(&state));
+    let running = Running::new(&state, life);
     let is_late = time > time_left;
     if !time.is_zero() {
         tokio::time::sleep(time.min(time_left)).await;
     }
     if is_late {
+        running.end();
         return Ok(respond(&state, 504, &request_id, &attempt, Bytes::new()));
     }
     if state.is_silent(connection) {
@@ -109,7 +136,7 @@
             .insert("x-index-version", version.into());
     }
     state.answered(index);
-    drop(running);
+    running.end();
     Ok(response)
 }
 
--- a/crates/limpet-fakes/src/target/spec.rs
+++ b/crates/limpet-fakes/src/target/spec.rs
@@ -56,6 +56,8 @@
     pub cold_factor: u32,
     /// Whole answers after which a cold target is warm.
     pub cold_answers: u32,
+    /// Time for which a cancelled request runs on.
+    pub cancel_lag_ms: u64,
     /// Time between a crash and the next start.
     pub restart_delay_ms: u64,
     /// Requests with exactly this body crash the target.
@@ -81,6 +83,7 @@
             cold_bears: 1,
             cold_factor: 5,
             cold_answers: 10,
+            cancel_lag_ms: 0,
             restart_delay_ms: 50,
             poison: None,
         }
--- a/crates/limpet-fakes/src/target/state.rs
+++ b/crates/limpet-fakes/src/target/state.rs
@@ -70,7 +70,11 @@
 #[derive(Debug)]
 pub(crate) enum Arrival {
     /// Runs for this time.
-    Run { index: usize, time: Duration },
+    Run {
+        index: usize,
+        time: Duration,
+        life: u64,
+    },
     /// Is refused.
     Refuse { status: u16 },
     /// Crashes the target.
@@ -173,8 +177,9 @@
         inner.incarnation = inner.random.random();
         inner.cold = true;
         inner.answers_cold = 0;
-        drop(inner);
+        inner.running = 0;
         self.life.send_modify(|life| *life += 1);
+        drop(inner);
         self.notify();
     }
 
@@ -244,12 +249,13 @@
         if inner.cold {
             time *= spec.cold_factor;
         }
+        let life = *self.life.borrow();
         drop(inner);
         self.notify();
         if asked.poison || is_over {
             return Arrival::Crash;
         }
-        Arrival::Run { index, time }
+        Arrival::Run { index, time, life }
     }
 
     pub(crate) fn answered(&self, index: usize) {
@@ -266,8 +272,13 @@
         self.notify();
     }
 
-    pub(crate) fn left(&self) {
-        self.lock().running -= 1;
+    /// Counts a request out, unless a crash has already ended it.
+    pub(crate) fn left(&self, life: u64) {
+        let mut inner = self.lock();
+        if *self.life.borrow() == life {
+            inner.running -= 1;
+        }
+        drop(inner);
         self.notify();
     }
 }
--- a/crates/limpetshuntd/src/relay/target/dispatch.rs
+++ b/crates/limpetshuntd/src/relay/target/dispatch.rs
@@ -48,9 +48,9 @@
 /// Why the head of the queue is not sent now.
 enum Hold {
     /// It stays at the head.
-    Wait(Work),
+    Wait(Box<Work>),
     /// It is refused.
-    Refuse(Work, Refusal),
+    Refuse(Box<Work>, Refusal),
 }
 
 impl TargetState {
@@ -107,7 +107,7 @@
                     work.refuse(refusal, self.cold.is_cold(), now);
                 }
                 Err(Hold::Wait(work)) => {
-                    self.queue.push_front(work);
+                    self.queue.push_front(*work);
                     break;
                 }
             }
@@ -123,23 +123,23 @@
     ) -> Result<(), Hold> {
         let fingerprint = work.request.fingerprint;
         if let Err(refusal) = check_send(&self.relay, self.addr, work.deadline, fingerprint) {
-            return Err(Hold::Refuse(work, refusal));
+            return Err(Hold::Refuse(Box::new(work), refusal));
         }
         let verdict = self.relay.board.strikes().verdict(fingerprint, now);
         let is_solo = verdict == Verdict::Alone;
         if is_solo && (!self.running.is_empty() || self.has_abandoned(now)) {
-            return Err(Hold::Wait(work));
+            return Err(Hold::Wait(Box::new(work)));
         }
         let (id, source) = match self.connection() {
             Some(found) => found,
-            None => return Err(Hold::Wait(work)),
+            None => return Err(Hold::Wait(Box::new(work))),
         };
         if is_solo {
             if !self.relay.board.strikes().begin_solo(fingerprint, now) {
                 self.release(id, source);
                 let reason = "the request has a strike and runs alone elsewhere";
                 let refusal = Refusal::not_run(RefusalCode::RequestQuarantined, reason);
-                return Err(Hold::Refuse(work, refusal));
+                return Err(Hold::Refuse(Box::new(work), refusal));
             }
             tracing::info!(addr = %self.addr, fingerprint, "request with a strike runs alone");
         }
--- a/crates/limpetshuntd/tests/relay/cold.rs
+++ b/crates/limpetshuntd/tests/relay/cold.rs
@@ -1,12 +1,19 @@
 //! Guards against more load on a cold target than it bears.
 
+use std::time::Duration;
+
 use futures::future::join_all;
 use limpet_fakes::target::{
+    FakeTarget,
     Fault,
     TargetSpec, //
 };
 
-use crate::harness::Harness;
+use crate::harness::{
+    Harness,
+    STUCK,
+    id_text, //
+};
 
 #[tokio::test]
 async fn a_cold_target_never_gets_more_than_its_limit() {
@@ -43,9 +50,7 @@
             join_all(requests.map(|request| harness.send(request))).await;
         }
     };
-    tokio::time::timeout(crate::harness::STUCK, load)
-        .await
-        .unwrap();
+    tokio::time::timeout(STUCK, load).await.unwrap();
     let events = target.events();
     let cold: Vec<_> = events.iter().filter(|e| e.cold && e.ran()).collect();
     let first_end = cold.iter().filter_map(|e| e.end_us).min().unwrap();
@@ -60,23 +65,26 @@
 
 #[tokio::test]
 async fn a_cancelled_attempt_keeps_its_place_on_a_cold_target() {
-    let spec = TargetSpec::new("a")
-        .with_slots(4)
-        .with_cold_start(1, 1_000)
-        .with_service_time_us(4_000);
+    let mut spec = TargetSpec::new("a").with_slots(4).with_cold_start(1, 1_000);
+    spec.cancel_lag_ms = 40;
     let harness = Harness::start(vec![spec], 1).await;
     let target = &harness.targets[0];
+    let mut cancelled = 0;
     for _ in 0..20 {
         let mut request = harness.request(0, "q");
-        request.time_left = std::time::Duration::from_millis(60);
+        request.time_left = Duration::from_millis(60);
+        let id = id_text(&request);
+        let is_seen = |t: &FakeTarget| t.events().iter().any(|e| *e.request == *id);
         tokio::select! {
+            biased;
+            () = target.wait_until(is_seen) => cancelled += 1,
             _ = harness.send(request) => {}
-            () = target.wait_until(|t| t.events().iter().any(|e| e.end_us.is_none())) => {}
         }
         let mut next = harness.request(0, "q");
-        next.time_left = std::time::Duration::from_millis(200);
+        next.time_left = Duration::from_millis(300);
         harness.send(next).await;
     }
+    assert!(cancelled > 0, "nothing was cancelled at the target");
     let stats = target.stats();
     assert_eq!(
         (stats.crashes, stats.peak_cold_running),
