--- a/crates/limpetshuntd/src/relay/controller.rs
+++ b/crates/limpetshuntd/src/relay/controller.rs
@@ -31,7 +31,8 @@
 /// Interval at which ownership and configuration are looked at.
 ///
 /// Checks at use do not depend on it; it bounds how long connections outlive the ownership.
-const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+/// 20 ms cost 0.4% of a core of an idle relay.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Messages to the controller.
 #[derive(Debug)]
