Test fairness between teams at one target

The queue by team of a relay had no test.

Add one with a team of 40 queued attempts and a later team of 4 of equal weight: the later team is served by turns.

--- a/crates/limpetshuntd/tests/relay/main.rs
+++ b/crates/limpetshuntd/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod cold;
 mod connections;
+mod fair;
 mod harness;
 mod poison;
 mod rights;
