Hold a target until its abandoned attempts are over

A drain or a release of ownership that only counts attempts with a waiting entry gives the target to the next owner while it may still run a cancelled attempt; the next owner would send its own on top.

--- a/crates/limpetshuntd/src/relay/handle.rs
+++ b/crates/limpetshuntd/src/relay/handle.rs
@@ -106,6 +106,7 @@
         weight,
         arrived,
         deadline,
+        _in_flight: relay.enter(addr),
         reply,
     });
     if actor.cast(TargetMessage::Run(work)).is_err() {
--- a/crates/limpetshuntd/src/relay/target/actor.rs
+++ b/crates/limpetshuntd/src/relay/target/actor.rs
@@ -41,7 +41,10 @@
     },
     queue::TeamQueue,
     run::Finished,
-    service::Relay,
+    service::{
+        InFlight,
+        Relay, //
+    },
     sites::Site,
     work::Work, //
 };
@@ -92,6 +95,15 @@
     pub(super) is_solo: bool,
 }
 
+/// An attempt that this side gave up and the target may still run.
+#[derive(Debug)]
+pub(super) struct Abandoned {
+    /// Boot time at which the target has certainly stopped it.
+    pub(super) end: Duration,
+    /// Keeps a drain from releasing the target before that.
+    pub(super) _in_flight: InFlight,
+}
+
 /// State of the actor of one target.
 #[derive(Debug)]
 pub(crate) struct TargetState {
@@ -104,8 +116,7 @@
     pub(super) queue: TeamQueue,
     pub(super) idle: HashMap<ConnectionId, TargetConnection>,
     pub(super) running: HashMap<ConnectionId, Running>,
-    /// Latest ends of attempts that this side gave up; the target may still run them.
-    pub(super) abandoned: Vec<Duration>,
+    pub(super) abandoned: Vec<Abandoned>,
     pub(super) latency: Duration,
     pub(super) reopen_at: Duration,
     pub(super) is_tick_due: bool,
@@ -245,7 +256,7 @@
     /// A cold target must not get more than it bears, so attempts that this side gave up count
     /// until their deadline there, and suspected ones keep their place.
     pub(super) fn occupied(&mut self, now: Duration) -> usize {
-        self.abandoned.retain(|end| now < *end);
+        self.abandoned.retain(|abandoned| now < abandoned.end);
         if !self.cold.is_cold() {
             return self.running.values().filter(|r| !r.is_replaced).count();
         }
--- a/crates/limpetshuntd/src/relay/target/dispatch.rs
+++ b/crates/limpetshuntd/src/relay/target/dispatch.rs
@@ -26,6 +26,7 @@
 use ractor::ActorRef;
 
 use crate::relay::target::actor::{
+    ABANDONED_GRACE,
     REOPEN_DELAY,
     Running,
     TICK,
@@ -160,7 +161,7 @@
     }
 
     fn has_abandoned(&mut self, now: Duration) -> bool {
-        self.abandoned.retain(|end| now < *end);
+        self.abandoned.retain(|abandoned| now < abandoned.end);
         !self.abandoned.is_empty()
     }
 
@@ -257,6 +258,8 @@
             TICK
         } else if now < self.reopen_at {
             self.reopen_at - now
+        } else if self.has_abandoned(now) {
+            ABANDONED_GRACE
         } else {
             return;
         };
--- a/crates/limpetshuntd/src/relay/target/outcome.rs
+++ b/crates/limpetshuntd/src/relay/target/outcome.rs
@@ -18,6 +18,7 @@
 
 use crate::relay::target::actor::{
     ABANDONED_GRACE,
+    Abandoned,
     TargetState, //
 };
 use crate::relay::{
@@ -61,7 +62,10 @@
             _ => false,
         };
         if may_run_on {
-            self.abandoned.push(work.deadline + ABANDONED_GRACE);
+            self.abandoned.push(Abandoned {
+                end: work.deadline + ABANDONED_GRACE,
+                _in_flight: self.relay.enter(self.addr),
+            });
         }
         if let Some(running) = self.running.remove(&id)
             && running.is_solo
--- a/crates/limpetshuntd/src/relay/work.rs
+++ b/crates/limpetshuntd/src/relay/work.rs
@@ -12,6 +12,8 @@
 };
 use tokio::sync::oneshot;
 
+use crate::relay::service::InFlight;
+
 /// One attempt on its way through the relay.
 #[derive(Debug)]
 pub(crate) struct Work {
@@ -20,6 +22,8 @@
     pub(crate) weight: u32,
     pub(crate) arrived: Duration,
     pub(crate) deadline: Duration,
+    /// Kept until the target can no longer run the attempt.
+    pub(crate) _in_flight: InFlight,
     /// Closed when the entry resets the stream.
     pub(crate) reply: oneshot::Sender<AttemptReply>,
 }
--- a/crates/limpetshuntd/tests/relay/rights.rs
+++ b/crates/limpetshuntd/tests/relay/rights.rs
@@ -131,3 +131,26 @@
     assert!(refusal.not_run);
     harness.stop().await;
 }
+
+#[tokio::test]
+async fn a_drain_waits_for_what_the_target_may_still_run() {
+    let mut spec = TargetSpec::new("a").with_service_time_us(5_000_000);
+    spec.cancel_lag_ms = 100;
+    let harness = Harness::start(vec![spec], 1).await;
+    let target = &harness.targets[0];
+    let mut request = harness.request(0, "q");
+    request.time_left = Duration::from_millis(200);
+    let board = &harness.context.board;
+    let deadline = board.now() + request.time_left;
+    tokio::select! {
+        _ = harness.send(request) => panic!("the target takes seconds"),
+        () = target.wait_until(|t| !t.events().is_empty()) => {}
+    }
+    board.phase.send_replace(Phase::Draining);
+    relay::drain(&harness.context).await;
+    assert!(
+        board.now() >= deadline,
+        "ownership would be released too early"
+    );
+    harness.stop().await;
+}
