--- a/crates/limpetshuntd/tests/relay/connections.rs
+++ b/crates/limpetshuntd/tests/relay/connections.rs
@@ -36,12 +36,18 @@
     let accepted = target.stats().accepted;
     let mut order = harness.request(0, "order");
     order.kind = AttemptKind::Order;
-    order.time_left = Duration::from_millis(400);
+    order.time_left = Duration::from_millis(1_000);
     let id = id_text(&order);
-    let replaced = target.wait_until(|t| t.stats().accepted > accepted);
+    let board = &harness.context.board;
+    let deadline = board.now() + order.time_left;
+    let replaced = async {
+        target.wait_until(|t| t.stats().accepted > accepted).await;
+        board.now()
+    };
     let (reply, replaced) =
         tokio::join!(harness.send(order), tokio::time::timeout(STUCK, replaced));
-    replaced.expect("the silent connection was not replaced");
+    let replaced = replaced.expect("the silent connection was not replaced");
+    assert!(replaced < deadline, "replaced only after its attempt ended");
     let refusal = reply.outcome.unwrap_err();
     assert_eq!(refusal.code, RefusalCode::OutcomeUnknown);
     assert!(!refusal.not_run, "it was sent, so it may have run");
