Test that a reset stream reaches the target

Cancellation was tested only by dropping the handler, not through the peer transport.

Add a test in which a peer abandons its call and the connection to the target closes.

--- a/crates/limpetshuntd/tests/relay/connections.rs
+++ b/crates/limpetshuntd/tests/relay/connections.rs
@@ -7,10 +7,16 @@
     Fault,
     TargetSpec, //
 };
+use limpet_peer::PeerClient;
 use limpet_types::{
     RefusalCode,
-    message::AttemptKind, //
+    message::{
+        AttemptKind,
+        PeerRequest, //
+    },
 };
+use limpetshuntd::peer_service;
+use tokio::net::TcpListener;
 
 use crate::harness::{
     Harness,
@@ -143,3 +149,37 @@
     assert_eq!(event.end_us, None, "the target was left to finish");
     harness.stop().await;
 }
+
+#[tokio::test]
+async fn a_reset_stream_cancels_the_attempt_at_the_target() {
+    let spec = TargetSpec::new("a").with_service_time_us(1_000_000);
+    let harness = Harness::start(vec![spec], 1).await;
+    let target = &harness.targets[0];
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let serving = harness.context.clone();
+    let server = limpet_peer::serve(listener, move |request| {
+        peer_service::dispatch(serving.clone(), request)
+    });
+    let entry = PeerClient::new();
+    let request = harness.request(0, "q");
+    let id = id_text(&request);
+    let request = PeerRequest::Attempt(request);
+    let addr = server.local_addr().unwrap();
+    tokio::select! {
+        _ = entry.call(addr, &request, STUCK) => panic!("the target takes a second"),
+        () = target.wait_until(|t| is_sent(t, &id)) => {}
+    }
+    let before = target.stats().connections;
+    let closed = target.wait_until(|t| t.stats().connections < before || t.stats().accepted > 2);
+    tokio::time::timeout(STUCK, closed)
+        .await
+        .expect("the connection stayed open");
+    assert_eq!(
+        target.events()[0].end_us,
+        None,
+        "the target was left to finish"
+    );
+    entry.close().await;
+    server.stop().await;
+    harness.stop().await;
+}
