--- a/crates/limpetshuntd/src/daemon.rs
+++ b/crates/limpetshuntd/src/daemon.rs
@@ -67,6 +67,8 @@
 pub struct Services {
     /// Configuration, freshness, gossip and membership.
     pub(crate) control: OnceLock<control::Control>,
+    /// Set by the relay.
+    pub relay: OnceLock<Arc<relay::Relay>>,
 }
 
 /// Runs a process until `shutdown` is ready, then drains it.
