--- /dev/null
+++ b/crates/limpet-decide/src/grant/coordinator.rs
@@ -0,0 +1,246 @@
+//! What a coordinator knows during one term.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use limpet_types::{
+    GroupId, NodeId, TeamName,
+    hash::group_of_target,
+    message::{
+        GrantReply,
+        GrantRequest,
+        OwnershipGrant,
+        TokenDemand,
+        TokenGrant, //
+    },
+};
+
+use crate::{
+    grant::{
+        Bucket,
+        OWNERSHIP_TTL,
+        OwnershipTable,
+        Rules,
+        TOKEN_TTL,
+        TableEvent, //
+    },
+    lease::Lease,
+};
+
+/// How long a reply is kept for a repeated request; longer than any retry of a holder.
+const REPLY_KEPT: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Debug)]
+struct Holder {
+    sequence: u64,
+    reply: Option<(Duration, GrantReply)>,
+}
+
+/// Buckets and ownership table of one group under one term.
+///
+/// A new term starts with a new value, so nothing is granted twice after a gap. Each call reads the
+/// clock after the request has arrived. The holder counts every right from before it sent the
+/// request, so a coordinator that freezes between its check and its reply extends nothing.
+#[derive(Clone, Debug)]
+pub struct Coordinator {
+    node: NodeId,
+    group: GroupId,
+    lease: Lease,
+    buckets: HashMap<TeamName, Bucket>,
+    table: OwnershipTable,
+    holders: HashMap<NodeId, Holder>,
+    forgotten_at: Duration,
+}
+
+impl Coordinator {
+    /// Creates the state of a new term.
+    pub fn new(node: NodeId, group: GroupId, lease: Lease) -> Self {
+        Self {
+            node,
+            group,
+            lease,
+            buckets: HashMap::new(),
+            table: OwnershipTable::new(lease.elected_at, lease.term),
+            holders: HashMap::new(),
+            forgotten_at: lease.elected_at,
+        }
+    }
+
+    /// Returns the lease under which rights are granted.
+    pub fn lease(&self) -> Lease {
+        self.lease
+    }
+
+    /// Notes a renewal.
+    pub fn renew(&mut self, lease: Lease) {
+        self.lease = lease;
+    }
+
+    /// Takes the decisions on ownership since the last call.
+    pub fn take_events(&mut self) -> Vec<TableEvent> {
+        self.table.take_events()
+    }
+
+    /// Returns the tokens of all teams that may still be spent somewhere.
+    pub fn outstanding(&mut self, rules: &Rules, now: Duration) -> u32 {
+        self.advance(rules, now);
+        self.buckets.values().map(Bucket::outstanding).sum()
+    }
+
+    /// Answers a request. While it resigns the coordinator takes reports and grants no tokens.
+    pub fn handle(
+        &mut self,
+        request: &GrantRequest,
+        rules: &Rules,
+        is_resigning: bool,
+        now: Duration,
+    ) -> GrantReply {
+        if now >= self.lease.until || request.group != self.group {
+            return self.refuse(request);
+        }
+        if let Some(holder) = self.holders.get(&request.holder) {
+            if request.sequence == holder.sequence
+                && let Some((_, reply)) = &holder.reply
+            {
+                return reply.clone();
+            }
+            if request.sequence <= holder.sequence {
+                return self.empty_reply(request, Duration::ZERO);
+            }
+        }
+        self.advance(rules, now);
+        let token_ttl = TOKEN_TTL.min(self.lease.until - now);
+        let mut reply = self.empty_reply(request, token_ttl);
+        let is_current_term = request.term == Some(self.lease.term);
+        for demand in &request.tokens {
+            let tokens = self.tokens(request, demand, is_current_term, is_resigning, now);
+            if tokens > 0 {
+                let team = demand.team.clone();
+                reply.tokens.push(TokenGrant { team, tokens });
+            }
+        }
+        self.ownership(
+            request,
+            rules,
+            is_current_term,
+            is_resigning,
+            now,
+            &mut reply,
+        );
+        reply.directory_version = self.table.version();
+        if request.directory_version != reply.directory_version {
+            reply.directory = Some(self.table.directory());
+        }
+        let holder = Holder {
+            sequence: request.sequence,
+            reply: Some((now, reply.clone())),
+        };
+        self.holders.insert(request.holder, holder);
+        reply
+    }
+
+    fn tokens(
+        &mut self,
+        request: &GrantRequest,
+        demand: &TokenDemand,
+        is_current_term: bool,
+        is_resigning: bool,
+        now: Duration,
+    ) -> u32 {
+        let Some(bucket) = self.buckets.get_mut(&demand.team) else {
+            return 0;
+        };
+        if is_current_term {
+            for report in &demand.reports {
+                bucket.report(request.holder, report);
+            }
+        }
+        if is_resigning {
+            return 0;
+        }
+        let end = now + TOKEN_TTL.min(self.lease.until - now);
+        bucket.grant(request.holder, request.sequence, demand.wanted, end)
+    }
+
+    fn ownership(
+        &mut self,
+        request: &GrantRequest,
+        rules: &Rules,
+        is_current_term: bool,
+        is_resigning: bool,
+        now: Duration,
+        reply: &mut GrantReply,
+    ) {
+        let holder = request.holder;
+        if is_current_term {
+            for target in &request.released {
+                self.table.release(*target, holder);
+            }
+        }
+        let is_here = |target: &&_| group_of_target(**target) == self.group;
+        for target in request.claimed.iter().filter(is_here) {
+            let owner = self.table.claim(*target, holder, is_current_term, now);
+            let target = *target;
+            reply.targets.push(OwnershipGrant { target, owner });
+        }
+        if is_resigning {
+            return;
+        }
+        for target in request.wanted.iter().filter(is_here) {
+            let preferred = rules.preferred.get(target).copied();
+            let owner = self.table.want(*target, holder, preferred, now);
+            let target = *target;
+            reply.targets.push(OwnershipGrant { target, owner });
+        }
+    }
+
+    fn advance(&mut self, rules: &Rules, now: Duration) {
+        let elected_at = self.lease.elected_at;
+        for team in rules.limits.keys() {
+            if !self.buckets.contains_key(team) {
+                self.buckets
+                    .insert(team.clone(), Bucket::new(now.max(elected_at)));
+            }
+        }
+        self.buckets.retain(|team, bucket| {
+            let limit = rules.limits.get(team).copied();
+            bucket.advance(limit.unwrap_or_default(), now);
+            // A team that left the text keeps its bucket until its tokens are over, so that its
+            // return does not start with room that is still in use.
+            limit.is_some() || bucket.outstanding() > 0
+        });
+        self.table.advance(now);
+        if now >= self.forgotten_at + REPLY_KEPT {
+            self.forgotten_at = now;
+            for holder in self.holders.values_mut() {
+                // The number stays: a delayed older request must never be run.
+                holder.reply.take_if(|(at, _)| *at + REPLY_KEPT <= now);
+            }
+        }
+    }
+
+    fn refuse(&self, request: &GrantRequest) -> GrantReply {
+        GrantReply {
+            is_coordinator: false,
+            ..self.empty_reply(request, Duration::ZERO)
+        }
+    }
+
+    fn empty_reply(&self, request: &GrantRequest, token_ttl: Duration) -> GrantReply {
+        GrantReply {
+            group: request.group,
+            coordinator: self.node,
+            sequence: request.sequence,
+            is_coordinator: true,
+            term: self.lease.term,
+            token_ttl,
+            ownership_ttl: OWNERSHIP_TTL,
+            tokens: Vec::new(),
+            targets: Vec::new(),
+            directory_version: request.directory_version,
+            directory: None,
+        }
+    }
+}
--- a/crates/limpet-decide/src/grant/mod.rs
+++ b/crates/limpet-decide/src/grant/mod.rs
@@ -1,1 +1,51 @@
-//! Rate tokens and target ownership at a coordinator.
+//! Rate tokens and target ownership granted by the coordinator of a lease group.
+
+mod bucket;
+mod coordinator;
+mod ownership_holder;
+mod ownership_table;
+mod split;
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use limpet_types::{
+    NodeId,
+    TargetAddr,
+    TeamName, //
+};
+
+pub use bucket::Bucket;
+pub use coordinator::Coordinator;
+pub use ownership_holder::{
+    Claims,
+    OwnershipChange,
+    OwnershipHolder, //
+};
+pub use ownership_table::{
+    OwnershipTable,
+    TableEvent, //
+};
+pub use split::{
+    Limit,
+    split_limit, //
+};
+
+/// How long ownership lasts; longer than the gap between two coordinators.
+pub const OWNERSHIP_TTL: Duration = Duration::from_secs(4);
+/// Longest life of a token. Shorter than a lease, so that a coordinator that resigns has to wait at
+/// most this long until none of its tokens is valid.
+pub const TOKEN_TTL: Duration = Duration::from_secs(1);
+/// Targets that may change their owner for balance, per second and group.
+pub const MOVES_PER_S: u32 = 8;
+
+/// What the operators' text and the members mean for one group.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    /// Part of each team's limit that the group grants.
+    pub limits: HashMap<TeamName, Limit>,
+    /// Relay preferred for each target.
+    pub preferred: HashMap<TargetAddr, NodeId>,
+}
--- a/crates/limpet-decide/src/placement/mod.rs
+++ b/crates/limpet-decide/src/placement/mod.rs
@@ -1,1 +1,39 @@
 //! Which relay is preferred for which target.
+
+use limpet_types::{
+    NodeId,
+    hash::stable_hash_parts, //
+};
+
+fn score(key: &[&[u8]], relay: &NodeId) -> u64 {
+    let addr = relay.addr.to_string();
+    let mut parts = key.to_vec();
+    parts.push(addr.as_bytes());
+    stable_hash_parts(&parts)
+}
+
+/// Returns the relays in the order of preference for a key (rendezvous hashing).
+///
+/// The order depends on addresses only, so a restarted relay gets its targets back.
+pub fn rank(key: &[&[u8]], relays: &[NodeId]) -> Vec<NodeId> {
+    let mut ranked: Vec<(u64, NodeId)> = relays.iter().map(|r| (score(key, r), *r)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|(_, relay)| relay).collect()
+}
+
+/// Returns the preferred relay for a replica of a shard.
+///
+/// Replica i goes to the relay ranked i, so replicas of a shard have different owners as long as
+/// there are as many relays as replicas.
+pub fn preferred(
+    service: &str,
+    shard: &str,
+    replica_index: usize,
+    relays: &[NodeId],
+) -> Option<NodeId> {
+    if relays.is_empty() {
+        return None;
+    }
+    let ranked = rank(&[service.as_bytes(), shard.as_bytes()], relays);
+    Some(ranked[replica_index % ranked.len()])
+}
--- a/crates/limpet-decide/src/share/mod.rs
+++ b/crates/limpet-decide/src/share/mod.rs
@@ -2,4 +2,7 @@
 
 mod shares;
 
-pub use shares::Shares;
+pub use shares::{
+    SharePolicy,
+    Shares, //
+};
--- a/crates/limpet-decide/src/share/shares.rs
+++ b/crates/limpet-decide/src/share/shares.rs
@@ -1,10 +1,104 @@
 //! Tokens of every team, by lease group.
 
-use std::time::Duration;
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use limpet_types::{
+    GroupId, TeamName, Term,
+    hash::LEASE_GROUPS,
+    message::{
+        GrantReply,
+        TokenDemand,
+        TokenReport, //
+    },
+};
+
+use crate::{
+    grant::{
+        Limit,
+        split_limit, //
+    },
+    lease::usable,
+};
+
+/// Time over which the demand of a team is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_millis(500);
+
+/// How many tokens an entry asks for in advance.
+#[derive(Clone, Copy, Debug)]
+pub struct SharePolicy {
+    /// Demand is covered for this long in advance.
+    pub horizon: Duration,
+    /// Largest part of a group's burst that one entry holds in advance, in percent.
+    pub burst_percent: u32,
+    /// Whether a request that found no token asks every group at once instead of one.
+    pub asks_all: bool,
+}
+
+impl Default for SharePolicy {
+    fn default() -> Self {
+        Self {
+            horizon: Duration::from_millis(200),
+            burst_percent: 10,
+            asks_all: true,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    group: GroupId,
+    term: Term,
+    sequence: u64,
+    tokens: u32,
+    spent: u32,
+    returned: u32,
+    until: Duration,
+}
+
+impl Held {
+    fn left(&self, now: Duration) -> u32 {
+        if now < self.until {
+            self.tokens - self.spent - self.returned
+        } else {
+            0
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct TeamShare {
+    held: Vec<Held>,
+    taken: u32,
+    missed: u32,
+    asked: [u32; LEASE_GROUPS as usize],
+    rate_per_s: f64,
+    sampled_at: Duration,
+}
+
+impl TeamShare {
+    fn sample(&mut self, now: Duration) {
+        self.held.retain(|held| now < held.until);
+        let elapsed = now.saturating_sub(self.sampled_at);
+        if elapsed.is_zero() {
+            return;
+        }
+        let weight = (elapsed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).min(1.0);
+        let rate = f64::from(self.taken) / elapsed.as_secs_f64();
+        self.rate_per_s += weight * (rate - self.rate_per_s);
+        self.taken = 0;
+        self.sampled_at = now;
+    }
+}
 
 /// Tokens that this entry holds.
 #[derive(Clone, Debug, Default)]
-pub struct Shares {}
+pub struct Shares {
+    policy: SharePolicy,
+    teams: HashMap<TeamName, TeamShare>,
+}
 
 impl Shares {
     /// Creates shares without tokens.
@@ -12,8 +106,154 @@
         Self::default()
     }
 
+    /// Replaces the policy.
+    pub fn with_policy(mut self, policy: SharePolicy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Spends one token of a team; false if none is valid at `now`.
-    pub fn take(&mut self, _team: &str, _now: Duration) -> bool {
-        false
+    ///
+    /// The token that ends first is spent first, because it is lost first.
+    pub fn take(&mut self, team: &str, now: Duration) -> bool {
+        let Some(share) = self.teams.get_mut(team) else {
+            return false;
+        };
+        let valid = share.held.iter_mut().filter(|held| held.left(now) > 0);
+        match valid.min_by_key(|held| held.until) {
+            Some(held) => {
+                held.spent += 1;
+                share.taken += 1;
+                true
+            }
+            None => {
+                share.missed += 1;
+                false
+            }
+        }
+    }
+
+    /// Returns the tokens of a team that are valid at `now`.
+    pub fn available(&self, team: &str, now: Duration) -> u32 {
+        let held = self.teams.get(team).into_iter().flat_map(|s| &s.held);
+        held.map(|held| held.left(now)).sum()
+    }
+
+    /// Returns whether a request found no token since the group was last asked.
+    pub fn is_short(&self, group: GroupId) -> bool {
+        let group = usize::from(group);
+        self.teams.values().any(|s| s.missed > s.asked[group])
+    }
+
+    /// Keeps the teams of the operators' text and creates the missing ones.
+    pub fn set_teams<'a>(&mut self, teams: impl Iterator<Item = &'a str> + Clone) {
+        self.teams
+            .retain(|name, _| teams.clone().any(|team| team == &**name));
+        for team in teams {
+            if !self.teams.contains_key(team) {
+                self.teams.insert(team.into(), TeamShare::default());
+            }
+        }
+    }
+
+    /// Returns what to tell and ask the coordinator of a group.
+    ///
+    /// Tokens beyond twice the wanted stock are given back: they are not spent after this call.
+    pub fn demands(
+        &mut self,
+        group: GroupId,
+        term: Option<Term>,
+        limit_of: impl Fn(&str) -> Limit,
+        now: Duration,
+    ) -> Vec<TokenDemand> {
+        let policy = self.policy;
+        let mut demands = Vec::new();
+        for (team, share) in &mut self.teams {
+            let whole = limit_of(team);
+            let limit = split_limit(team, whole, group);
+            share.sample(now);
+            let stock = policy.stock(share.rate_per_s, whole, limit);
+            let held = share.held.iter_mut().filter(|held| held.group == group);
+            let available: u32 = held.map(|held| held.left(now)).sum();
+            let mut surplus = available.saturating_sub(2 * stock);
+            let missed = share.missed - share.asked[usize::from(group)];
+            share.asked[usize::from(group)] = share.missed;
+            let urgent = policy.urgent(missed, share.missed, group);
+            if urgent > 0 {
+                surplus = 0;
+            }
+            let mut reports = Vec::new();
+            for held in share.held.iter_mut().filter(|h| h.group == group) {
+                let back = surplus.min(held.left(now));
+                held.returned += back;
+                surplus -= back;
+                if Some(held.term) == term && held.spent + held.returned > 0 {
+                    reports.push(TokenReport {
+                        sequence: held.sequence,
+                        spent: held.spent,
+                        returned: held.returned,
+                    });
+                }
+            }
+            let wanted = (stock + urgent).saturating_sub(available).min(limit.burst);
+            if wanted > 0 || !reports.is_empty() {
+                let team = team.clone();
+                demands.push(TokenDemand {
+                    team,
+                    wanted,
+                    reports,
+                });
+            }
+        }
+        demands
+    }
+
+    /// Adds the tokens of the reply to the request that was sent at `sent_at`; true if any is valid.
+    ///
+    /// The caller drops replies that do not answer its latest request.
+    pub fn apply(&mut self, reply: &GrantReply, sent_at: Duration, now: Duration) -> bool {
+        let until = sent_at + usable(reply.token_ttl);
+        if !reply.is_coordinator || now >= until {
+            return false;
+        }
+        for grant in &reply.tokens {
+            let Some(share) = self.teams.get_mut(&grant.team) else {
+                continue;
+            };
+            share.held.push(Held {
+                group: reply.group,
+                term: reply.term,
+                sequence: reply.sequence,
+                tokens: grant.tokens,
+                spent: 0,
+                returned: 0,
+                until,
+            });
+        }
+        !reply.tokens.is_empty()
+    }
+}
+
+impl SharePolicy {
+    /// Returns the tokens to hold of one group.
+    fn stock(&self, rate_per_s: f64, whole: Limit, part: Limit) -> u32 {
+        if whole.rate_per_s <= 0.0 {
+            return 0;
+        }
+        let of_group = rate_per_s * self.horizon.as_secs_f64() * part.rate_per_s / whole.rate_per_s;
+        // Rounded down: an entry with little demand asks when a request comes, so that the burst is
+        // not spread over idle stocks.
+        let most = part.burst * self.burst_percent / 100;
+        (of_group as u32).min(most)
+    }
+
+    /// Returns the tokens to ask of one group for requests that found none.
+    fn urgent(&self, missed: u32, missed_ever: u32, group: GroupId) -> u32 {
+        if self.asks_all || missed == 0 {
+            return missed;
+        }
+        let groups = u32::from(LEASE_GROUPS);
+        let place = (u32::from(group) + missed_ever) % groups;
+        missed / groups + u32::from(place < missed % groups)
     }
 }
--- a/crates/limpet-types/src/message/grant.rs
+++ b/crates/limpet-types/src/message/grant.rs
@@ -17,17 +17,28 @@
     node::NodeId, //
 };
 
-/// Tokens of one team that an entry wants or has used since its last request.
+/// What became of the tokens of one grant, counted from the grant on.
+///
+/// Totals and not differences, so that a lost, repeated or delayed report frees nothing twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenReport {
+    /// Number of the request that the tokens were granted to.
+    pub sequence: u64,
+    /// Tokens spent.
+    pub spent: u32,
+    /// Tokens given back unspent.
+    pub returned: u32,
+}
+
+/// Tokens of one team that an entry wants, and reports on earlier grants of the same term.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TokenDemand {
     /// Team.
     pub team: TeamName,
     /// Tokens wanted on top of those held.
     pub wanted: u32,
-    /// Granted tokens that were spent.
-    pub spent: u32,
-    /// Granted tokens that are given back unspent.
-    pub returned: u32,
+    /// Reports on grants that are still valid at the entry.
+    pub reports: Vec<TokenReport>,
 }
 
 /// Asks a coordinator for rights and reports what became of earlier ones.
@@ -85,7 +96,7 @@
 pub struct GrantReply {
     /// Group asked.
     pub group: GroupId,
-    /// Who answers.
+    /// Coordinator of the group as far as the answering relay knows; itself if it knows of none.
     pub coordinator: NodeId,
     /// Number of the request.
     pub sequence: u64,
--- a/crates/limpet-types/src/message/mod.rs
+++ b/crates/limpet-types/src/message/mod.rs
@@ -26,7 +26,8 @@
     GrantRequest,
     OwnershipGrant,
     TokenDemand,
-    TokenGrant, //
+    TokenGrant,
+    TokenReport, //
 };
 pub use order::{
     ForwardOrderReply,
