Elect coordinators and move rights between processes

Cause: the system starts only with coordinators, tokens, ownership and the directory. Change: one candidate actor and one grant actor per group, the vote and grant services, orderly resignation and release, a log line with a reason and a metric for each change. The blackboard has the coordinated groups for gossip. Ruled out: giving votes back at once on resignation. The next coordinator does not count the old tokens, so the votes go back when the last token is reported or over (at most 1 s).

--- a/crates/limpetshuntd/src/blackboard/board.rs
+++ b/crates/limpetshuntd/src/blackboard/board.rs
@@ -21,6 +21,7 @@
 };
 use limpet_types::{
     BootClock,
+    GroupId,
     NodeId,
     Phase,
     Role,
@@ -60,6 +61,8 @@
     pub fresh_until_us: AtomicU64,
     /// Written by the gossip controller.
     pub members: ArcSwap<Members>,
+    /// Groups that this relay coordinates; written by the candidates, told to peers by gossip.
+    pub coordinates: ArcSwap<Vec<GroupId>>,
     /// Written by the grant controller.
     pub directory: ArcSwap<Directory>,
     /// Written by the grant controller; entries spend from it.
@@ -84,6 +87,7 @@
             config: ArcSwapOption::empty(),
             fresh_until_us: AtomicU64::new(0),
             members: ArcSwap::default(),
+            coordinates: ArcSwap::default(),
             directory: ArcSwap::default(),
             shares: Mutex::new(Shares::new()),
             shares_refilled: Notify::new(),
--- a/crates/limpetshuntd/src/daemon.rs
+++ b/crates/limpetshuntd/src/daemon.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::{
+        Arc,
+        OnceLock, //
+    },
 };
 
 use limpet_peer::PeerClient;
@@ -18,7 +21,12 @@
     blackboard::Blackboard,
     control,
     controllers::Controllers,
-    entry, lease, peer_service, relay,
+    entry,
+    lease::{
+        self,
+        LeaseState, //
+    },
+    peer_service, relay,
     settings::{
         RoleSettings,
         Settings, //
@@ -61,7 +69,10 @@
 
 /// State that a module keeps between requests; each module sets its own in `start`.
 #[derive(Debug, Default)]
-pub struct Services {}
+pub struct Services {
+    /// Votes, coordinators and grant clients; set by `lease::start`.
+    pub lease: OnceLock<Arc<LeaseState>>,
+}
 
 /// Runs a process until `shutdown` is ready, then drains it.
 ///
--- a/crates/limpetshuntd/src/lease/mod.rs
+++ b/crates/limpetshuntd/src/lease/mod.rs
@@ -1,11 +1,27 @@
 //! Coordinators, rate tokens and target ownership.
 
-use limpet_types::message::{
-    GrantReply,
-    GrantRequest,
-    VoteReply,
-    VoteRequest, //
+mod candidate_actor;
+mod grant_actor;
+mod grant_client;
+mod group_state;
+mod resign;
+mod rules_cache;
+mod service;
+mod state;
+
+use std::sync::Arc;
+
+use limpet_types::{
+    GroupId, Role,
+    hash::LEASE_GROUPS,
+    message::{
+        GrantReply,
+        GrantRequest,
+        VoteReply,
+        VoteRequest, //
+    },
 };
+use ractor::Actor;
 
 use crate::{
     controllers::Controllers,
@@ -13,26 +29,77 @@
         Context,
         StartError, //
     },
+    lease::{
+        candidate_actor::CandidateActor,
+        grant_actor::GrantActor, //
+    },
 };
 
+pub use state::LeaseState;
+
 /// Starts the controllers of this module.
 ///
 /// # Errors
 ///
 /// Fails when a controller cannot start.
-pub async fn start(_context: &Context, _controllers: &mut Controllers) -> Result<(), StartError> {
+pub async fn start(context: &Context, controllers: &mut Controllers) -> Result<(), StartError> {
+    let state = Arc::new(LeaseState::new(&context.board));
+    // A second start of the same process keeps the first state: a new voter would forget promises.
+    let state = Arc::clone(context.services.lease.get_or_init(|| state));
+    for group in 0..LEASE_GROUPS {
+        if context.board.role == Role::Relay {
+            let actor = CandidateActor { group };
+            let arguments = (context.clone(), Arc::clone(&state));
+            let spawned = Actor::spawn(None, actor, arguments).await;
+            let (actor, handle) = spawned.map_err(|e| start_error("candidate", &e))?;
+            controllers.add("candidate", actor.get_cell(), handle);
+        }
+        let arguments = (context.clone(), Arc::clone(&state));
+        let spawned = Actor::spawn(None, GrantActor { group }, arguments).await;
+        let (actor, handle) = spawned.map_err(|e| start_error("grants", &e))?;
+        controllers.add("grants", actor.get_cell(), handle);
+    }
     Ok(())
 }
 
+fn start_error(name: &'static str, error: &ractor::SpawnErr) -> StartError {
+    StartError::Controller {
+        name,
+        context: error.to_string().into(),
+    }
+}
+
+/// Returns the groups that this process coordinates at this moment.
+pub fn coordinated_groups(context: &Context) -> Vec<GroupId> {
+    let state = context.services.lease.get();
+    state.map_or_else(Vec::new, |state| state.coordinated(context.board.now()))
+}
+
 /// Answers a vote request; `None` on an entry, which does not vote.
-pub async fn handle_vote(_context: &Context, _request: VoteRequest) -> Option<VoteReply> {
-    None
+pub async fn handle_vote(context: &Context, request: VoteRequest) -> Option<VoteReply> {
+    let state = context.services.lease.get()?;
+    (context.board.role == Role::Relay).then(|| service::vote(context, state, &request))
 }
 
 /// Answers a grant request; `None` on an entry, which never coordinates.
-pub async fn handle_grant(_context: &Context, _request: GrantRequest) -> Option<GrantReply> {
-    None
+pub async fn handle_grant(context: &Context, request: GrantRequest) -> Option<GrantReply> {
+    let state = context.services.lease.get()?;
+    if context.board.role != Role::Relay {
+        return None;
+    }
+    service::grant(context, state, &request)
 }
 
 /// Gives back every right; called after the last work of a draining process has ended.
-pub async fn release(_context: &Context) {}
+pub async fn release(context: &Context) {
+    let Some(state) = context.services.lease.get() else {
+        return;
+    };
+    for group in 0..LEASE_GROUPS {
+        let mut client = state.client(group).lock().await;
+        client.release(context).await;
+    }
+    if context.board.role == Role::Relay {
+        resign::resign_all(context, state).await;
+    }
+}
--- /dev/null
+++ b/crates/limpetshuntd/src/lease/rules_cache.rs
@@ -0,0 +1,111 @@
+//! Limits and preferred owners, computed once per configuration and set of relays.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use limpet_config::TargetState;
+use limpet_decide::{
+    grant::{
+        Limit,
+        Rules,
+        split_limit, //
+    },
+    placement,
+};
+use limpet_types::{
+    GroupId, NodeId, Phase, Revision, Role,
+    hash::{
+        LEASE_GROUPS,
+        group_of_target, //
+    },
+};
+
+use crate::blackboard::{
+    Blackboard,
+    InForce, //
+};
+
+/// A relay not heard for longer gets no targets; shorter than the life of ownership, so that the
+/// targets of a killed relay are wanted by others when their ownership ends.
+const RELAY_SILENCE_MAX: Duration = Duration::from_secs(3);
+
+#[derive(Debug, Default)]
+struct Cached {
+    revision: Revision,
+    relays: Vec<NodeId>,
+    rules: Vec<Arc<Rules>>,
+}
+
+/// Rules of every group as of the last change.
+#[derive(Debug, Default)]
+pub(super) struct RulesCache {
+    cached: Mutex<Cached>,
+}
+
+impl RulesCache {
+    /// Returns the rules of a group under the configuration and members of this moment.
+    pub(super) fn get(&self, board: &Blackboard, group: GroupId) -> Arc<Rules> {
+        let Some(in_force) = board.in_force() else {
+            return Arc::default();
+        };
+        let relays = serving_relays(board);
+        let mut cached = self.cached.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_current = cached.revision == in_force.revision && cached.relays == relays;
+        if !is_current || cached.rules.is_empty() {
+            let rules = (0..LEASE_GROUPS).map(|g| Arc::new(compute(&in_force, &relays, g)));
+            *cached = Cached {
+                revision: in_force.revision,
+                rules: rules.collect(),
+                relays,
+            };
+        }
+        Arc::clone(&cached.rules[usize::from(group)])
+    }
+}
+
+fn compute(in_force: &InForce, relays: &[NodeId], group: GroupId) -> Rules {
+    let config = &in_force.config;
+    let limits = config.teams.iter().map(|team| {
+        let whole = Limit {
+            rate_per_s: team.rate_per_s,
+            burst: team.burst,
+        };
+        (team.name.clone(), split_limit(&team.name, whole, group))
+    });
+    let of_group = config.targets().filter(|site| {
+        site.target.state == TargetState::Live && group_of_target(site.target.addr) == group
+    });
+    let preferred = of_group.filter_map(|site| {
+        let (service, shard) = (&site.service.name, &site.shard.name);
+        let relay = placement::preferred(service, shard, site.replica_index, relays)?;
+        Some((site.target.addr, relay))
+    });
+    Rules {
+        limits: limits.collect(),
+        preferred: preferred.collect(),
+    }
+}
+
+/// Returns the relays that take targets, in the order of their addresses.
+fn serving_relays(board: &Blackboard) -> Vec<NodeId> {
+    let now = board.now();
+    let members = board.members.load();
+    let heard = members.of_role(Role::Relay).filter(|member| {
+        let is_heard = now.saturating_sub(member.heard_at) < RELAY_SILENCE_MAX;
+        is_heard && member.record.phase == Phase::Serving && member.record.node != board.node
+    });
+    let mut heard: Vec<_> = heard.map(|m| (m.record.node, m.heard_at)).collect();
+    if board.role == Role::Relay && board.phase() == Phase::Serving {
+        heard.push((board.node, now));
+    }
+    // Of two incarnations at one address the one heard last is running.
+    heard.sort_unstable_by_key(|(node, heard_at)| (node.addr, std::cmp::Reverse(*heard_at)));
+    heard.dedup_by_key(|(node, _)| node.addr);
+    heard.into_iter().map(|(node, _)| node).collect()
+}
