Stop the refill while tokens are out, ask groups in turn

Change: the bucket advances from end to end of its grants. A request without a token asks one group and the next ones 8 ms later each, so one request no longer fetches four tokens.

--- a/crates/limpet-decide/src/grant/bucket.rs
+++ b/crates/limpet-decide/src/grant/bucket.rs
@@ -58,15 +58,15 @@
     ///
     /// A lowered burst takes tokens from the level only; what is out counts until it expires.
     pub fn advance(&mut self, limit: Limit, now: Duration) {
-        while let Some((_, key)) = self.ends.pop_front_if(|(end, _)| *end <= now) {
+        // Tokens that are out hold back the refill up to their own end and not only up to the last
+        // call; dropping them first would add what was refilled while they could still be spent.
+        while let Some((end, key)) = self.ends.pop_front_if(|(end, _)| *end <= now) {
+            self.refill(limit, end);
             if let Some(grant) = self.grants.remove(&key) {
                 self.outstanding -= grant.tokens - grant.spent - grant.returned;
             }
         }
-        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
-        self.refilled_at = self.refilled_at.max(now);
-        let rate = self.limit.rate_per_s.min(limit.rate_per_s);
-        self.level += rate * elapsed;
+        self.refill(limit, now);
         self.limit = limit;
         self.clamp_level();
     }
@@ -105,6 +105,13 @@
         tokens
     }
 
+    fn refill(&mut self, limit: Limit, now: Duration) {
+        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
+        self.refilled_at = self.refilled_at.max(now);
+        self.level += self.limit.rate_per_s.min(limit.rate_per_s) * elapsed;
+        self.clamp_level();
+    }
+
     fn clamp_level(&mut self) {
         let room = self.limit.burst.saturating_sub(self.outstanding);
         self.level = self.level.min(f64::from(room));
--- a/crates/limpet-decide/src/share/shares.rs
+++ b/crates/limpet-decide/src/share/shares.rs
@@ -26,6 +26,9 @@
 /// Time over which the demand of a team is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_millis(500);
 
+/// After this time a request that found no token has been refused.
+const WAIT_MAX: Duration = Duration::from_millis(50);
+
 /// How many tokens an entry asks for in advance.
 #[derive(Clone, Copy, Debug)]
 pub struct SharePolicy {
@@ -33,16 +36,16 @@
     pub horizon: Duration,
     /// Largest part of a group's burst that one entry holds in advance, in percent.
     pub burst_percent: u32,
-    /// Whether a request that found no token asks every group at once instead of one.
-    pub asks_all: bool,
+    /// Time after which the next group is asked as well for a request that found no token.
+    pub stage: Duration,
 }
 
 impl Default for SharePolicy {
     fn default() -> Self {
         Self {
-            horizon: Duration::from_millis(200),
+            horizon: Duration::from_millis(100),
             burst_percent: 10,
-            asks_all: true,
+            stage: Duration::from_millis(8),
         }
     }
 }
@@ -73,14 +76,51 @@
     held: Vec<Held>,
     taken: u32,
     missed: u32,
-    asked: [u32; LEASE_GROUPS as usize],
+    missed_at: Duration,
+    first_group: GroupId,
+    asked: [bool; LEASE_GROUPS as usize],
     rate_per_s: f64,
     sampled_at: Duration,
 }
 
 impl TeamShare {
+    fn miss(&mut self, now: Duration) {
+        if self.missed == 0 {
+            self.start_asking(now);
+        }
+        self.missed += 1;
+    }
+
+    /// Starts with another group each time, so that the groups' buckets drain evenly.
+    fn start_asking(&mut self, now: Duration) {
+        self.missed_at = now;
+        self.first_group = (self.first_group + 1) % LEASE_GROUPS;
+        self.asked = [false; LEASE_GROUPS as usize];
+    }
+
+    /// Returns the tokens missing that the group should be asked for by now.
+    fn urgent(&self, group: GroupId, stage: Duration, now: Duration) -> u32 {
+        let place = (group + LEASE_GROUPS - self.first_group) % LEASE_GROUPS;
+        let is_due = now >= self.missed_at + stage * u32::from(place);
+        if is_due && !self.asked[usize::from(group)] {
+            self.missed
+        } else {
+            0
+        }
+    }
+
+    fn note_granted(&mut self, tokens: u32, now: Duration) {
+        if self.missed > 0 {
+            self.missed = self.missed.saturating_sub(tokens);
+            self.start_asking(now);
+        }
+    }
+
     fn sample(&mut self, now: Duration) {
         self.held.retain(|held| now < held.until);
+        if now >= self.missed_at + WAIT_MAX {
+            self.missed = 0;
+        }
         let elapsed = now.saturating_sub(self.sampled_at);
         if elapsed.is_zero() {
             return;
@@ -127,7 +167,7 @@
                 true
             }
             None => {
-                share.missed += 1;
+                share.miss(now);
                 false
             }
         }
@@ -139,10 +179,10 @@
         held.map(|held| held.left(now)).sum()
     }
 
-    /// Returns whether a request found no token since the group was last asked.
-    pub fn is_short(&self, group: GroupId) -> bool {
-        let group = usize::from(group);
-        self.teams.values().any(|s| s.missed > s.asked[group])
+    /// Returns whether a request found no token and the group should be asked now.
+    pub fn is_short(&self, group: GroupId, now: Duration) -> bool {
+        let stage = self.policy.stage;
+        self.teams.values().any(|s| s.urgent(group, stage, now) > 0)
     }
 
     /// Keeps the teams of the operators' text and creates the missing ones.
@@ -176,10 +216,9 @@
             let held = share.held.iter_mut().filter(|held| held.group == group);
             let available: u32 = held.map(|held| held.left(now)).sum();
             let mut surplus = available.saturating_sub(2 * stock);
-            let missed = share.missed - share.asked[usize::from(group)];
-            share.asked[usize::from(group)] = share.missed;
-            let urgent = policy.urgent(missed, share.missed, group);
+            let urgent = share.urgent(group, policy.stage, now);
             if urgent > 0 {
+                share.asked[usize::from(group)] = true;
                 surplus = 0;
             }
             let mut reports = Vec::new();
@@ -220,6 +259,7 @@
             let Some(share) = self.teams.get_mut(&grant.team) else {
                 continue;
             };
+            share.note_granted(grant.tokens, now);
             share.held.push(Held {
                 group: reply.group,
                 term: reply.term,
@@ -246,14 +286,4 @@
         let most = part.burst * self.burst_percent / 100;
         (of_group as u32).min(most)
     }
-
-    /// Returns the tokens to ask of one group for requests that found none.
-    fn urgent(&self, missed: u32, missed_ever: u32, group: GroupId) -> u32 {
-        if self.asks_all || missed == 0 {
-            return missed;
-        }
-        let groups = u32::from(LEASE_GROUPS);
-        let place = (u32::from(group) + missed_ever) % groups;
-        missed / groups + u32::from(place < missed % groups)
-    }
 }
--- a/crates/limpetshuntd/src/lease/grant_client.rs
+++ b/crates/limpetshuntd/src/lease/grant_client.rs
@@ -149,11 +149,12 @@
     }
 
     fn is_due(&self, board: &Blackboard) -> bool {
-        let since = board.now().saturating_sub(self.asked_at);
+        let now = board.now();
+        let since = now.saturating_sub(self.asked_at);
         match board.role {
             Role::Relay => since >= RENEW_INTERVAL,
             Role::Entry => {
-                let is_short = since >= SHORT_INTERVAL && board.shares().is_short(self.group);
+                let is_short = since >= SHORT_INTERVAL && board.shares().is_short(self.group, now);
                 since >= TOKEN_INTERVAL || is_short
             }
         }
