--- a/crates/limpet-decide/tests/rights.rs
+++ b/crates/limpet-decide/tests/rights.rs
@@ -3,11 +3,11 @@
 
 #[path = "rights/driver.rs"]
 mod driver;
+#[path = "rights/node.rs"]
+mod node;
 
-use driver::{
-    Driver,
-    Fault, //
-};
+use driver::Driver;
+use node::Fault;
 use proptest::prelude::*;
 
 proptest! {
--- a/crates/limpet-decide/tests/rights/driver.rs
+++ b/crates/limpet-decide/tests/rights/driver.rs
@@ -6,39 +6,25 @@
         BTreeMap,
         BinaryHeap, //
     },
-    net::SocketAddr,
     time::Duration,
 };
 
 use limpet_decide::{
     grant::{
-        Claims,
         Coordinator,
         Limit,
-        OwnershipHolder,
         Rules,
         split_limit, //
     },
-    lease::{
-        Candidate,
-        LEASE_TTL,
-        RoundOutcome,
-        Voter, //
-    },
-    share::{
-        SharePolicy,
-        Shares, //
-    },
+    lease::RoundOutcome,
 };
 use limpet_types::{
-    GroupId, NodeId, TargetAddr, Term,
+    NodeId, TargetAddr,
     hash::group_of_target,
     message::{
         GrantReply,
         GrantRequest,
-        TokenDemand,
-        VoteReply,
-        VoteRequest, //
+        TokenDemand, //
     },
 };
 use rand::{
@@ -47,60 +33,20 @@
 };
 use rand_chacha::ChaCha8Rng;
 
-const GROUP: GroupId = 0;
-const RELAYS: usize = 5;
-const ENTRIES: usize = 3;
-const TEAM: &str = "north";
-const WHOLE: Limit = Limit {
-    rate_per_s: 160.0,
-    burst: 40,
+use crate::node::{
+    DRIFT_PERMILLE,
+    ENTRIES,
+    Event,
+    Fault,
+    GROUP,
+    Node,
+    Pending,
+    RELAYS,
+    START_MS,
+    TEAM,
+    WHOLE,
+    clock, //
 };
-/// Largest difference between a node's clock and the true rate, in parts of a thousand.
-const DRIFT_PERMILLE: i64 = 10;
-const START_MS: u64 = 100_000;
-
-/// A deliberate fault; the driver must notice each.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fault {
-    None,
-    /// A restarted voter votes at once.
-    NoAbstention,
-    /// Tokens count from the arrival of the reply.
-    CountedFromReply,
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    Vote(VoteRequest),
-    VoteReply(VoteReply),
-    Grant(GrantRequest),
-    GrantReply(GrantReply),
-    Wake(u64),
-}
-
-struct Pending {
-    sequence: u64,
-    sent_at: Duration,
-    claims: Claims,
-}
-
-struct Node {
-    id: NodeId,
-    drift_permille: i64,
-    frozen_until_ms: u64,
-    is_relay: bool,
-    knows: Vec<usize>,
-    voter: Voter,
-    candidate: Candidate,
-    coordinator: Option<Coordinator>,
-    holder: OwnershipHolder,
-    shares: Shares,
-    term: Option<Term>,
-    sequence: u64,
-    pending: Option<Pending>,
-    peer: usize,
-    is_hoarding: bool,
-}
 
 pub(crate) struct Driver {
     rng: ChaCha8Rng,
@@ -119,10 +65,6 @@
     pub(crate) gains: u64,
 }
 
-fn addr(index: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, index as u8 + 1], 7102))
-}
-
 impl Driver {
     pub(crate) fn new(seed: u64, fault: Fault) -> Self {
         let mut driver = Self {
@@ -146,48 +88,13 @@
             gains: 0,
         };
         for index in 0..RELAYS + ENTRIES {
-            let node = driver.new_node(index);
+            let node = Node::new(&mut driver.rng, fault, driver.now_ms, index);
             driver.nodes.push(node);
             driver.start(index);
         }
         driver
     }
 
-    fn new_node(&mut self, index: usize) -> Node {
-        let id = NodeId::new(addr(index), self.rng.random());
-        let drift_permille = self.rng.random_range(-DRIFT_PERMILLE..=DRIFT_PERMILLE);
-        let started_at = clock(self.now_ms, drift_permille);
-        let abstains_from = match self.fault {
-            Fault::NoAbstention => started_at - LEASE_TTL,
-            _ => started_at,
-        };
-        let knows = (0..RELAYS).filter(|_| self.rng.random_bool(0.9)).collect();
-        // Entries ask for as much as they can get.
-        let mut shares = Shares::new().with_policy(SharePolicy {
-            horizon: Duration::from_secs(60),
-            burst_percent: 100,
-            stage: Duration::ZERO,
-        });
-        shares.set_teams([TEAM].into_iter());
-        Node {
-            id,
-            drift_permille,
-            frozen_until_ms: 0,
-            is_relay: index < RELAYS,
-            knows,
-            voter: Voter::new(id, abstains_from),
-            candidate: Candidate::new(id, GROUP),
-            coordinator: None,
-            holder: OwnershipHolder::new(id),
-            shares,
-            term: None,
-            sequence: 0,
-            pending: None,
-            peer: 0,
-            is_hoarding: false,
-        }
-    }
-
     fn start(&mut self, index: usize) {
         let incarnation = self.nodes[index].id.incarnation;
         let wait = self.rng.random_range(0..50);
@@ -246,7 +153,7 @@
             self.nodes[index].frozen_until_ms = self.now_ms + length;
         } else {
             // The old process is gone before its replacement starts, so `vms_max` is kept.
-            self.nodes[index] = self.new_node(index);
+            self.nodes[index] = Node::new(&mut self.rng, self.fault, self.now_ms, index);
             self.start(index);
         }
     }
@@ -406,7 +313,7 @@
             });
         }
         for demand in &mut tokens {
-            // No policy of the entries may be needed for safety: they take all they can get.
+            // The limit must hold whatever the policy of the entries is, so they take all they can.
             demand.wanted = WHOLE.burst;
         }
         let request = GrantRequest {
@@ -477,10 +384,3 @@
         Ok(())
     }
 }
-
-fn clock(now_ms: u64, drift_permille: i64) -> Duration {
-    // Clocks run at their own rate from the start of the run on.
-    let elapsed = now_ms - START_MS;
-    let drifted = elapsed * (1000 + drift_permille) as u64;
-    Duration::from_millis(START_MS) + Duration::from_micros(drifted)
-}
--- /dev/null
+++ b/crates/limpet-decide/tests/rights/node.rs
@@ -0,0 +1,138 @@
+//! Nodes, messages and clocks of the driver.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use limpet_decide::{
+    grant::{
+        Claims,
+        Coordinator,
+        Limit,
+        OwnershipHolder, //
+    },
+    lease::{
+        Candidate,
+        LEASE_TTL,
+        Voter, //
+    },
+    share::{
+        SharePolicy,
+        Shares, //
+    },
+};
+use limpet_types::{
+    GroupId, NodeId, Term,
+    message::{
+        GrantReply,
+        GrantRequest,
+        VoteReply,
+        VoteRequest, //
+    },
+};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+pub(crate) const GROUP: GroupId = 0;
+pub(crate) const RELAYS: usize = 5;
+pub(crate) const ENTRIES: usize = 3;
+pub(crate) const TEAM: &str = "north";
+pub(crate) const WHOLE: Limit = Limit {
+    rate_per_s: 160.0,
+    burst: 40,
+};
+/// Largest difference between a node's clock and the true rate, in parts of a thousand.
+pub(crate) const DRIFT_PERMILLE: i64 = 10;
+pub(crate) const START_MS: u64 = 100_000;
+
+/// A deliberate fault; the driver must notice each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    None,
+    /// A restarted voter votes at once.
+    NoAbstention,
+    /// Tokens count from the arrival of the reply.
+    CountedFromReply,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    Vote(VoteRequest),
+    VoteReply(VoteReply),
+    Grant(GrantRequest),
+    GrantReply(GrantReply),
+    Wake(u64),
+}
+
+pub(crate) struct Pending {
+    pub(crate) sequence: u64,
+    pub(crate) sent_at: Duration,
+    pub(crate) claims: Claims,
+}
+
+pub(crate) struct Node {
+    pub(crate) id: NodeId,
+    pub(crate) drift_permille: i64,
+    pub(crate) frozen_until_ms: u64,
+    pub(crate) is_relay: bool,
+    pub(crate) knows: Vec<usize>,
+    pub(crate) voter: Voter,
+    pub(crate) candidate: Candidate,
+    pub(crate) coordinator: Option<Coordinator>,
+    pub(crate) holder: OwnershipHolder,
+    pub(crate) shares: Shares,
+    pub(crate) term: Option<Term>,
+    pub(crate) sequence: u64,
+    pub(crate) pending: Option<Pending>,
+    pub(crate) peer: usize,
+    pub(crate) is_hoarding: bool,
+}
+
+impl Node {
+    pub(crate) fn new(rng: &mut ChaCha8Rng, fault: Fault, now_ms: u64, index: usize) -> Self {
+        let id = NodeId::new(addr(index), rng.random());
+        let drift_permille = rng.random_range(-DRIFT_PERMILLE..=DRIFT_PERMILLE);
+        let started_at = clock(now_ms, drift_permille);
+        let abstains_from = match fault {
+            Fault::NoAbstention => started_at - LEASE_TTL,
+            _ => started_at,
+        };
+        let knows = (0..RELAYS).filter(|_| rng.random_bool(0.9)).collect();
+        // Entries ask for as much as they can get.
+        let mut shares = Shares::new().with_policy(SharePolicy {
+            horizon: Duration::from_secs(60),
+            burst_percent: 100,
+            stage: Duration::ZERO,
+        });
+        shares.set_teams([TEAM].into_iter());
+        Self {
+            id,
+            drift_permille,
+            frozen_until_ms: 0,
+            is_relay: index < RELAYS,
+            knows,
+            voter: Voter::new(id, abstains_from),
+            candidate: Candidate::new(id, GROUP),
+            coordinator: None,
+            holder: OwnershipHolder::new(id),
+            shares,
+            term: None,
+            sequence: 0,
+            pending: None,
+            peer: 0,
+            is_hoarding: false,
+        }
+    }
+}
+
+pub(crate) fn addr(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index as u8 + 1], 7102))
+}
+
+pub(crate) fn clock(now_ms: u64, drift_permille: i64) -> Duration {
+    // Clocks run at their own rate from the start of the run on.
+    let elapsed = now_ms - START_MS;
+    let drifted = elapsed * (1000 + drift_permille) as u64;
+    Duration::from_millis(START_MS) + Duration::from_micros(drifted)
+}
