--- a/crates/limpetshuntd/src/daemon.rs
+++ b/crates/limpetshuntd/src/daemon.rs
@@ -21,7 +21,12 @@
     blackboard::Blackboard,
     control,
     controllers::Controllers,
-    entry, lease, peer_service, relay,
+    entry,
+    lease::{
+        self,
+        LeaseState, //
+    },
+    peer_service, relay,
     settings::{
         RoleSettings,
         Settings, //
@@ -69,6 +74,8 @@
     pub(crate) control: OnceLock<control::Control>,
     /// Set by the relay.
     pub relay: OnceLock<Arc<relay::Relay>>,
+    /// Votes, coordinators and grant clients; set by `lease::start`.
+    pub lease: OnceLock<Arc<LeaseState>>,
 }
 
 /// Runs a process until `shutdown` is ready, then drains it.
