Serve metrics, readiness, status and explain on the admin address

Cause: a load balancer, an operator and limpetctl need one process's view. Change: an actor owns the HTTP server and joins its connections when it stops. /ready is 200 only while the process serves, its configuration is fresh and, for an entry, its zone is in. The documents are typed in limpet-types so that limpetctl reads the same fields. The metrics recorder is installed once. Ruled out: the exporter's own listener, which cannot be joined at a stop.

--- a/crates/limpet-types/src/lib.rs
+++ b/crates/limpet-types/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod message;
 pub mod node;
 pub mod refusal;
+pub mod status;
 
 pub use clock::BootClock;
 pub use ids::{
--- a/crates/limpetshuntd/src/admin/mod.rs
+++ b/crates/limpetshuntd/src/admin/mod.rs
@@ -1,8 +1,17 @@
-//! Metrics, readiness and status.
+//! Metrics, readiness, status and explanation of routes.
+
+mod explain;
+mod readiness;
+mod recorder;
+mod server;
+mod status;
 
 use limpet_types::message::StatusReply;
+use ractor::Actor;
+use tokio::net::TcpListener;
 
 use crate::{
+    admin::server::AdminServer,
     controllers::Controllers,
     daemon::{
         Context,
@@ -10,16 +19,32 @@
     },
 };
 
+pub use readiness::NotReady;
+
 /// Starts the admin server.
 ///
 /// # Errors
 ///
 /// Fails when the address cannot be bound.
-pub async fn start(_context: &Context, _controllers: &mut Controllers) -> Result<(), StartError> {
+pub async fn start(context: &Context, controllers: &mut Controllers) -> Result<(), StartError> {
+    let addr = context.settings.role.common().admin_addr;
+    let bind_error = |source| StartError::Bind { addr, source };
+    let listener = TcpListener::bind(addr).await.map_err(bind_error)?;
+    recorder::install();
+    let arguments = (context.clone(), listener);
+    let (actor, handle) = Actor::spawn(None, AdminServer, arguments)
+        .await
+        .map_err(|error| StartError::Controller {
+            name: "admin",
+            context: error.to_string().into(),
+        })?;
+    controllers.add("admin", actor.get_cell(), handle);
     Ok(())
 }
 
 /// Returns this process's view as JSON.
-pub async fn handle_status(_context: &Context) -> StatusReply {
-    StatusReply { json: "{}".into() }
+pub async fn handle_status(context: &Context) -> StatusReply {
+    let document = status::document(&context.board);
+    let json = serde_json::to_string(&document).unwrap_or_else(|_| "{}".into());
+    StatusReply { json: json.into() }
 }
--- /dev/null
+++ b/crates/limpetshuntd/src/admin/status.rs
@@ -0,0 +1,137 @@
+//! The document of `/status`.
+
+use std::{
+    fmt::Write as _,
+    sync::atomic::Ordering,
+    time::Duration, //
+};
+
+use limpet_config::{
+    Config,
+    TargetSite,
+    TargetState, //
+};
+use limpet_types::status::{
+    ConfigStatus,
+    CoordinatorStatus,
+    MemberStatus,
+    StatusDocument,
+    TargetStatus, //
+};
+
+use crate::{
+    Blackboard,
+    admin::readiness, //
+};
+
+/// Returns the process's view.
+pub(crate) fn document(board: &Blackboard) -> StatusDocument {
+    let now = board.now();
+    let readiness = readiness::check(board);
+    let fresh_until = Duration::from_micros(board.fresh_until_us.load(Ordering::Acquire));
+    let in_force = board.in_force();
+    StatusDocument {
+        node: board.node.to_string().into(),
+        role: board.role,
+        zone: board.zone.clone(),
+        phase: board.phase(),
+        ready: readiness.is_ok(),
+        not_ready_reason: readiness.err().map(|reason| reason.to_string().into()),
+        fresh_for_ms: whole_ms(fresh_until.saturating_sub(now)),
+        config: in_force.as_deref().map(|in_force| ConfigStatus {
+            revision: in_force.revision,
+            digest: hex(&in_force.digest),
+            size_bytes: in_force.text.len(),
+        }),
+        refused_texts: Vec::new(),
+        members: members(board, now),
+        coordinators: coordinators(board),
+        targets: in_force
+            .as_deref()
+            .map(|in_force| targets(board, &in_force.config, now))
+            .unwrap_or_default(),
+        tokens: Vec::new(),
+    }
+}
+
+/// Returns the state of a target by the operators' text.
+pub(crate) fn state_of(config: &Config, site: &TargetSite<'_>) -> &'static str {
+    if site.target.state == TargetState::Leaving {
+        "leaving"
+    } else if config.zone_is_out(&site.target.zone) {
+        "zone_out"
+    } else {
+        "live"
+    }
+}
+
+fn members(board: &Blackboard, now: Duration) -> Vec<MemberStatus> {
+    let members = board.members.load();
+    let status = |member: &crate::blackboard::Member| MemberStatus {
+        node: member.record.node.to_string().into(),
+        role: member.record.role,
+        zone: member.record.zone.clone(),
+        phase: member.record.phase,
+        revision: member.record.revision,
+        age_ms: whole_ms(now.saturating_sub(member.heard_at)),
+    };
+    let mut list: Vec<MemberStatus> = members.nodes.iter().map(status).collect();
+    list.sort_by(|a, b| a.node.cmp(&b.node));
+    list
+}
+
+fn coordinators(board: &Blackboard) -> Vec<CoordinatorStatus> {
+    let members = board.members.load();
+    let mut list: Vec<CoordinatorStatus> = members
+        .nodes
+        .iter()
+        .flat_map(|member| {
+            let node: Box<str> = member.record.node.to_string().into();
+            let groups = member.record.coordinates.iter();
+            groups.map(move |group| CoordinatorStatus {
+                group: *group,
+                node: node.clone(),
+            })
+        })
+        .collect();
+    list.sort_by(|a, b| (a.group, &a.node).cmp(&(b.group, &b.node)));
+    list
+}
+
+fn targets(board: &Blackboard, config: &Config, now: Duration) -> Vec<TargetStatus> {
+    let directory = board.directory.load();
+    let owned = board.owned.load();
+    config
+        .targets()
+        .map(|site| {
+            let addr = site.target.addr;
+            let owned_until = owned.until(addr, now);
+            let owner = owned_until
+                .map(|_| board.node)
+                .or_else(|| directory.owner_of(addr));
+            TargetStatus {
+                name: site.target.name.clone(),
+                addr,
+                service: site.service.name.clone(),
+                shard: site.shard.name.clone(),
+                zone: site.target.zone.clone(),
+                state: state_of(config, &site).into(),
+                owner: owner.map(|node| node.addr),
+                owned_for_ms: owned_until.map(|until| whole_ms(until.saturating_sub(now))),
+            }
+        })
+        .collect()
+}
+
+fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn hex(bytes: &[u8]) -> Box<str> {
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        // Writing to a string does not fail.
+        let _ = write!(text, "{byte:02x}");
+    }
+    text.into()
+}
