Add limpetctl: check, queries, watch, explain and status

Cause: users had no tool to check a text, send a query or see a process's view. Change: one module per command; exit codes tell apart complete, partial, refused and not run, refused and possibly run, and no response. A response that repeats another request id is reported as unreadable, never as an answer. Ruled out: resending an order by the tool itself after a lost reply.

--- /dev/null
+++ b/crates/limpetctl/src/command/check.rs
@@ -0,0 +1,88 @@
+//! `limpetctl check`.
+
+use limpet_config::{
+    Config,
+    Problem, //
+};
+use serde::Serialize;
+
+use crate::{
+    arguments::CheckArguments,
+    exit::Exit, //
+};
+
+/// One problem in the JSON form.
+#[derive(Debug, Serialize)]
+struct ProblemRecord<'a> {
+    line: usize,
+    column: usize,
+    wrong: &'a str,
+    right: &'a str,
+}
+
+/// Checks a file and prints its problems.
+pub(crate) fn run(arguments: &CheckArguments, json: bool) -> Exit {
+    let file = arguments.file.display();
+    let bytes = match std::fs::read(&arguments.file) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            eprintln!("error: cannot read {file}: {error}");
+            return Exit::Usage;
+        }
+    };
+    let result = match std::str::from_utf8(&bytes) {
+        Ok(text) => Config::parse(text),
+        Err(error) => Err(vec![not_utf8(&bytes, error.valid_up_to())]),
+    };
+    let problems = result.as_ref().err().map_or(&[][..], Vec::as_slice);
+    if json {
+        print_json(problems);
+    } else {
+        for problem in problems {
+            println!("{file}:{problem}");
+        }
+        if let Ok(config) = &result {
+            println!(
+                "{file}: ok: {} zones, {} teams, {} services, {} targets, {} lookups",
+                config.zones.len(),
+                config.teams.len(),
+                config.services.len(),
+                config.targets().count(),
+                config.lookups.len(),
+            );
+        }
+    }
+    if problems.is_empty() {
+        Exit::Success
+    } else {
+        Exit::Failed
+    }
+}
+
+/// Returns the problem of a text whose bytes after `valid_up_to` are not UTF-8.
+fn not_utf8(bytes: &[u8], valid_up_to: usize) -> Problem {
+    let before = String::from_utf8_lossy(&bytes[..valid_up_to]);
+    let last_line = before.rsplit('\n').next().unwrap_or_default();
+    Problem {
+        line: before.matches('\n').count() + 1,
+        column: last_line.chars().count() + 1,
+        wrong: "bytes that are not UTF-8".into(),
+        right: "save the file as UTF-8".into(),
+    }
+}
+
+fn print_json(problems: &[Problem]) {
+    let records: Vec<ProblemRecord<'_>> = problems
+        .iter()
+        .map(|problem| ProblemRecord {
+            line: problem.line,
+            column: problem.column,
+            wrong: &problem.wrong,
+            right: &problem.right,
+        })
+        .collect();
+    match serde_json::to_string_pretty(&records) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("error: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/limpetctl/src/command/reply.rs
@@ -0,0 +1,252 @@
+//! The reply of an entry: an answer with coverage or a refusal.
+
+use std::fmt::Write as _;
+
+use bytes::Bytes;
+use http::Response;
+use limpet_types::RequestId;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::exit::Exit;
+
+/// A range of keys that was answered or is missing.
+#[derive(Clone, Debug, Deserialize)]
+struct Range {
+    shard: Box<str>,
+    start: u64,
+    end: u64,
+    reason: Option<Box<str>>,
+}
+
+/// Key ranges answered and missing.
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Coverage {
+    answered: Vec<Range>,
+    missing: Vec<Range>,
+}
+
+/// The fields of an answer that the text form shows.
+#[derive(Clone, Debug, Deserialize)]
+struct Answer {
+    request_id: Option<Box<str>>,
+    snapshot: Option<Value>,
+    #[serde(default)]
+    complete: bool,
+    #[serde(default)]
+    coverage: Coverage,
+    found: Option<bool>,
+    #[serde(default)]
+    results: Vec<ShardResult>,
+    #[serde(default)]
+    dependencies: std::collections::BTreeMap<Box<str>, Answer>,
+}
+
+/// The result of one shard.
+#[derive(Clone, Debug, Deserialize)]
+struct ShardResult {
+    shard: Box<str>,
+    #[serde(default)]
+    body: Value,
+}
+
+/// The fields of a refusal.
+#[derive(Clone, Debug, Deserialize)]
+struct RefusalBody {
+    code: Box<str>,
+    not_run: bool,
+    message: Box<str>,
+    request_id: Option<Box<str>>,
+    ticket: Option<Box<str>>,
+}
+
+/// What the body of the response is.
+#[derive(Clone, Debug)]
+enum Content {
+    Answer(Answer),
+    Refusal(RefusalBody),
+    Unreadable(Box<str>),
+}
+
+/// The reply to one query.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    status: u16,
+    ticket: Option<Box<str>>,
+    body: Value,
+    content: Content,
+}
+
+impl Reply {
+    /// Reads a response; a response to another request is unreadable, not an answer.
+    pub(crate) fn new(response: Response<Bytes>, request_id: RequestId) -> Self {
+        let status = response.status().as_u16();
+        let header = response.headers().get("x-limpet-ticket");
+        let ticket = header.and_then(|value| value.to_str().ok()).map(Into::into);
+        let body: Value = serde_json::from_slice(response.body()).unwrap_or_else(|_| {
+            Value::String(String::from_utf8_lossy(response.body()).into_owned())
+        });
+        let content = read_content(response.status().is_success(), &body, request_id);
+        Self {
+            status,
+            ticket,
+            body,
+            content,
+        }
+    }
+
+    /// Returns the ticket that the entry issued, if it asks for one.
+    pub(crate) fn ticket(&self) -> Option<Box<str>> {
+        match &self.content {
+            Content::Refusal(refusal) if &*refusal.code == "ticket_required" => {
+                self.ticket.clone().or_else(|| refusal.ticket.clone())
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns how the command ended.
+    pub(crate) const fn exit(&self) -> Exit {
+        match &self.content {
+            Content::Answer(answer) if answer.complete => Exit::Success,
+            Content::Answer(_) => Exit::Partial,
+            Content::Refusal(refusal) if refusal.not_run => Exit::RefusedNotRun,
+            Content::Refusal(_) => Exit::RefusedMaybeRun,
+            Content::Unreadable(_) => Exit::NoResponse,
+        }
+    }
+
+    /// Returns the body as the entry sent it.
+    pub(crate) const fn json(&self) -> &Value {
+        &self.body
+    }
+
+    /// Returns a short line for `watch`.
+    pub(crate) fn line(&self) -> String {
+        match &self.content {
+            Content::Answer(answer) => format!(
+                "{} {}/{} shards{}",
+                if answer.complete {
+                    "complete"
+                } else {
+                    "partial"
+                },
+                answer.coverage.answered.len(),
+                answer.coverage.answered.len() + answer.coverage.missing.len(),
+                answer
+                    .found
+                    .map_or(String::new(), |found| format!(" found={found}")),
+            ),
+            Content::Refusal(refusal) => {
+                format!(
+                    "{} not_run={} {}",
+                    refusal.code, refusal.not_run, refusal.message
+                )
+            }
+            Content::Unreadable(why) => format!("unreadable: {why}"),
+        }
+    }
+
+    /// Returns the text form: answer, coverage, refusal code.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        match &self.content {
+            Content::Answer(answer) => write_answer(&mut text, answer, ""),
+            Content::Refusal(refusal) => {
+                let run = if refusal.not_run {
+                    "not run: it may be sent again"
+                } else {
+                    "may have run: look before sending an order again"
+                };
+                line(
+                    &mut text,
+                    &format!("refused: {} (HTTP {}, {run})", refusal.code, self.status),
+                );
+                line(&mut text, &format!("message: {}", refusal.message));
+                if let Some(id) = &refusal.request_id {
+                    line(&mut text, &format!("request: {id}"));
+                }
+            }
+            Content::Unreadable(why) => {
+                line(
+                    &mut text,
+                    &format!("unreadable: HTTP {}: {why}", self.status),
+                );
+            }
+        }
+        text
+    }
+}
+
+fn read_content(success: bool, body: &Value, request_id: RequestId) -> Content {
+    let expected = format!("{request_id:032x}");
+    let unreadable = |error: serde_json::Error| Content::Unreadable(error.to_string().into());
+    let (content, id) = if success {
+        match Answer::deserialize(body) {
+            Ok(answer) => {
+                let id = answer.request_id.clone();
+                (Content::Answer(answer), id)
+            }
+            Err(error) => return unreadable(error),
+        }
+    } else {
+        match RefusalBody::deserialize(body) {
+            Ok(refusal) => {
+                let id = refusal.request_id.clone();
+                (Content::Refusal(refusal), id)
+            }
+            Err(error) => return unreadable(error),
+        }
+    };
+    match id {
+        Some(id) if *id != *expected => {
+            Content::Unreadable(format!("response to request {id}, sent was {expected}").into())
+        }
+        _ => content,
+    }
+}
+
+fn write_answer(text: &mut String, answer: &Answer, indent: &str) {
+    for (name, dependency) in &answer.dependencies {
+        line(text, &format!("{indent}dependency {name}:"));
+        write_answer(text, dependency, &format!("{indent}  "));
+    }
+    if let Some(found) = answer.found {
+        line(text, &format!("{indent}found: {found}"));
+    }
+    for result in &answer.results {
+        let body = match &result.body {
+            Value::String(body) => body.clone(),
+            body => body.to_string(),
+        };
+        line(text, &format!("{indent}{}: {body}", result.shard));
+    }
+    let answered = answer.coverage.answered.len();
+    let total = answered + answer.coverage.missing.len();
+    let kind = if answer.complete {
+        "complete"
+    } else {
+        "partial"
+    };
+    let snapshot = match &answer.snapshot {
+        None | Some(Value::Null) => "none".into(),
+        Some(snapshot) => snapshot.to_string(),
+    };
+    line(
+        text,
+        &format!("{indent}coverage: {kind}, {answered} of {total} shards, snapshot {snapshot}"),
+    );
+    for range in &answer.coverage.missing {
+        let reason = range.reason.as_deref().unwrap_or("no reason given");
+        let (shard, start, end) = (&range.shard, range.start, range.end);
+        line(
+            text,
+            &format!("{indent}missing: {shard} {start}..{end}: {reason}"),
+        );
+    }
+}
+
+fn line(text: &mut String, content: &str) {
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "{content}");
+}
--- a/crates/limpetctl/src/lib.rs
+++ b/crates/limpetctl/src/lib.rs
@@ -1,1 +1,8 @@
 //! The limpetshunt command-line tool.
+
+pub mod arguments;
+pub mod command;
+pub mod exit;
+pub mod http_client;
+
+pub use arguments::Arguments;
