--- a/crates/limpet-adapters/src/target/mod.rs
+++ b/crates/limpet-adapters/src/target/mod.rs
@@ -1,1 +1,1 @@
-//! Adapter to targets.
+//! Client of targets.
--- a/crates/limpet-fakes/src/target/mod.rs
+++ b/crates/limpet-fakes/src/target/mod.rs
@@ -1,1 +1,1 @@
-//! Stand-in for a target.
+//! Stand-in for targets.
