Start limpet-bench: examples, ports, idle

Cause: the demo and the examples need texts at the users' sizes, free ports and the figures of idle processes. Change: a generator of examples with the stand-in targets that go with them, ports drawn below the range of outgoing connections, memory and CPU from /proc. Ruled out: a script in another language, which could not share the range arithmetic.

--- /dev/null
+++ b/crates/limpet-bench/src/example/mod.rs
@@ -0,0 +1,79 @@
+//! Example configurations at the sizes of the two users, and their stand-in targets.
+
+mod shape;
+mod specs;
+mod text;
+
+use std::{
+    net::Ipv4Addr,
+    path::PathBuf, //
+};
+
+use clap::{
+    Args,
+    ValueEnum, //
+};
+
+pub use shape::{
+    ExampleLookup,
+    ExampleService,
+    ExampleShape,
+    ExampleTeam, //
+};
+pub use specs::target_specs;
+pub use text::render;
+
+/// Port of the targets in the committed examples.
+pub const TARGET_PORT_DEFAULT: u16 = 9000;
+/// Last byte of the address of the first target; each target has an address of its own.
+pub const FIRST_TARGET_BYTE: u8 = 100;
+
+/// Which user the example is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum ExampleUser {
+    /// Cork flooring: four zones, eight teams, 105 targets.
+    Authority,
+    /// Gloves: three zones, eight teams, 97 targets.
+    Peachtree,
+}
+
+/// Arguments of `example`.
+#[derive(Clone, Debug, Args)]
+pub struct ExampleArguments {
+    /// Which user.
+    pub user: ExampleUser,
+    /// File for the configuration text; printed if absent.
+    #[arg(long, env = "LIMPET_BENCH_TEXT")]
+    pub text: Option<PathBuf>,
+    /// File for the description of the stand-in targets (JSON).
+    #[arg(long, env = "LIMPET_BENCH_TARGETS")]
+    pub targets: Option<PathBuf>,
+    /// Port of every target.
+    #[arg(long, env = "LIMPET_BENCH_TARGET_PORT", default_value_t = TARGET_PORT_DEFAULT)]
+    pub target_port: u16,
+}
+
+/// Returns the address of a target by its position in the text.
+pub fn target_ip(index: usize) -> Ipv4Addr {
+    let last = usize::from(FIRST_TARGET_BYTE) + index;
+    Ipv4Addr::new(127, 0, (last / 256) as u8, (last % 256) as u8)
+}
+
+/// Writes an example.
+///
+/// # Errors
+///
+/// Fails when a file cannot be written.
+pub fn run(arguments: &ExampleArguments) -> Result<bool, Box<dyn std::error::Error>> {
+    let shape = ExampleShape::of_user(arguments.user);
+    let text = render(&shape, arguments.target_port);
+    match &arguments.text {
+        Some(path) => std::fs::write(path, &text)?,
+        None => print!("{text}"),
+    }
+    if let Some(path) = &arguments.targets {
+        let specs = target_specs(&shape, arguments.target_port);
+        std::fs::write(path, serde_json::to_vec_pretty(&specs)?)?;
+    }
+    Ok(true)
+}
--- /dev/null
+++ b/crates/limpet-bench/src/example/shape.rs
@@ -0,0 +1,209 @@
+//! Shapes of the example fleets.
+
+use crate::example::ExampleUser;
+
+/// A team of an example; its API key is `example-key-NAME`.
+#[derive(Clone, Debug)]
+pub struct ExampleTeam {
+    /// Name.
+    pub name: &'static str,
+    /// Requests per second over the whole fleet.
+    pub rate_per_s: u32,
+    /// Requests at once over the whole fleet.
+    pub burst: u32,
+    /// Share in fair queueing.
+    pub weight: u32,
+}
+
+/// A service of an example.
+#[derive(Clone, Debug)]
+pub struct ExampleService {
+    /// Name.
+    pub name: &'static str,
+    /// `search`, `ledger` or `accounts`.
+    pub kind: &'static str,
+    /// Whether callers need no API key.
+    pub open: bool,
+    /// Requests that a warm target runs at a time.
+    pub slots: u32,
+    /// Connections that a target accepts.
+    pub connections_max: u32,
+    /// Time that a target takes to accept a connection.
+    pub connect_delay_ms: u64,
+    /// Replicas of each shard.
+    pub replicas: Vec<usize>,
+}
+
+/// A lookup of an example.
+#[derive(Clone, Debug)]
+pub struct ExampleLookup {
+    /// Name.
+    pub name: &'static str,
+    /// Service asked.
+    pub service: &'static str,
+    /// `search`, `exists`, `record` or `order`.
+    pub kind: &'static str,
+    /// Lookups that run first.
+    pub depends_on: Vec<&'static str>,
+}
+
+/// The shape of an example fleet.
+#[derive(Clone, Debug)]
+pub struct ExampleShape {
+    /// What the example is for; comment at the top of the text.
+    pub title: &'static str,
+    /// Most relay processes at one instant.
+    pub vms_max: u32,
+    /// Zones.
+    pub zones: Vec<&'static str>,
+    /// Teams.
+    pub teams: Vec<ExampleTeam>,
+    /// Services.
+    pub services: Vec<ExampleService>,
+    /// Lookups.
+    pub lookups: Vec<ExampleLookup>,
+}
+
+impl ExampleShape {
+    /// Returns the shape of a user's fleet.
+    pub fn of_user(user: ExampleUser) -> Self {
+        match user {
+            ExampleUser::Authority => authority(),
+            ExampleUser::Peachtree => peachtree(),
+        }
+    }
+
+    /// Returns one search service of `shards` shards with one replica each, for measurements.
+    pub fn flat_search(shards: usize) -> Self {
+        let mut flat = service("flat", "search", 8, 60, 0, vec![1; shards]);
+        flat.open = true;
+        Self {
+            title: "measurement of the fan-out",
+            vms_max: 1,
+            zones: vec!["zone-a"],
+            teams: vec![team("bench", 100_000, 100_000, 1)],
+            services: vec![flat],
+            lookups: vec![lookup("flat-search", "flat", "search", &[])],
+        }
+    }
+
+    /// Returns the number of targets.
+    pub fn targets_len(&self) -> usize {
+        let replicas = self.services.iter().flat_map(|service| &service.replicas);
+        replicas.sum()
+    }
+}
+
+const fn team(name: &'static str, rate_per_s: u32, burst: u32, weight: u32) -> ExampleTeam {
+    ExampleTeam {
+        name,
+        rate_per_s,
+        burst,
+        weight,
+    }
+}
+
+const fn service(
+    name: &'static str,
+    kind: &'static str,
+    slots: u32,
+    connections_max: u32,
+    connect_delay_ms: u64,
+    replicas: Vec<usize>,
+) -> ExampleService {
+    ExampleService {
+        name,
+        kind,
+        open: false,
+        slots,
+        connections_max,
+        connect_delay_ms,
+        replicas,
+    }
+}
+
+fn lookup(
+    name: &'static str,
+    service: &'static str,
+    kind: &'static str,
+    depends_on: &[&'static str],
+) -> ExampleLookup {
+    ExampleLookup {
+        name,
+        service,
+        kind,
+        depends_on: depends_on.to_vec(),
+    }
+}
+
+fn authority() -> ExampleShape {
+    let mut roster = service("fitter-roster", "ledger", 2, 100, 1, vec![2; 5]);
+    roster.open = true;
+    ExampleShape {
+        title: "Authority, cork flooring: stock search, batch search, order lookups, orders.",
+        // Eight VMs and two replacements that run before the replaced VM has stopped.
+        vms_max: 10,
+        zones: vec!["zone-a", "zone-b", "zone-c", "zone-d"],
+        teams: vec![
+            team("retail", 400, 200, 4),
+            team("trade", 400, 200, 4),
+            team("depot-north", 120, 60, 2),
+            team("depot-south", 120, 60, 2),
+            team("web", 120, 60, 2),
+            team("orders", 60, 40, 1),
+            team("planning", 40, 40, 1),
+            team("audit", 40, 40, 1),
+        ],
+        services: vec![
+            service("stock", "search", 2, 25, 6, vec![3; 10]),
+            service("goods-in", "ledger", 2, 25, 6, vec![3; 15]),
+            service("order-accounts", "accounts", 2, 100, 1, vec![2; 10]),
+            roster,
+        ],
+        lookups: vec![
+            lookup("stock-search", "stock", "search", &[]),
+            lookup("batch-exists", "goods-in", "exists", &[]),
+            lookup("batch-record", "goods-in", "record", &[]),
+            lookup("order-status", "order-accounts", "record", &[]),
+            lookup("place-order", "order-accounts", "order", &[]),
+            lookup("quote", "order-accounts", "record", &["stock-search"]),
+            lookup("fitter", "fitter-roster", "record", &[]),
+        ],
+    }
+}
+
+fn peachtree() -> ExampleShape {
+    let mut promotions = service("promotions", "search", 3, 40, 1, vec![2, 2, 3]);
+    promotions.open = true;
+    ExampleShape {
+        title: "Peachtree, gloves: shop search, option confirmation, one supplier's ledger.",
+        // Seven VMs and two replacements that run before the replaced VM has stopped.
+        vms_max: 9,
+        zones: vec!["zone-a", "zone-b", "zone-c"],
+        teams: vec![
+            team("shops-east", 300, 150, 4),
+            team("shops-west", 300, 150, 4),
+            team("shops-north", 200, 100, 2),
+            team("shops-south", 200, 100, 2),
+            team("online", 200, 100, 2),
+            team("suppliers", 60, 40, 1),
+            team("loyalty-desk", 60, 40, 1),
+            team("reports", 40, 40, 1),
+        ],
+        services: vec![
+            service("fitting", "search", 2, 25, 6, vec![3; 10]),
+            service("loyalty", "ledger", 2, 25, 6, vec![3; 15]),
+            service("reorder", "accounts", 3, 40, 1, vec![3; 5]),
+            promotions,
+        ],
+        lookups: vec![
+            lookup("shop-search", "fitting", "search", &[]),
+            lookup("option-exists", "fitting", "exists", &[]),
+            lookup("loyalty-record", "loyalty", "record", &[]),
+            lookup("supplier-ledger", "reorder", "record", &[]),
+            lookup("reorder", "reorder", "order", &[]),
+            lookup("counter", "loyalty", "record", &["shop-search"]),
+            lookup("promotions", "promotions", "search", &[]),
+        ],
+    }
+}
--- /dev/null
+++ b/crates/limpet-bench/src/example/specs.rs
@@ -0,0 +1,45 @@
+//! Stand-in targets of an example.
+
+use std::net::SocketAddr;
+
+use limpet_fakes::target::TargetSpec;
+use limpet_types::KeyRange;
+
+use crate::example::{
+    ExampleShape,
+    target_ip,
+    text::shard_range, //
+};
+
+/// Index version that every stand-in of a search service holds.
+const INDEX_VERSION: u64 = 1;
+/// Usual service time of a stand-in.
+const SERVICE_TIME_US: u64 = 3_000;
+
+/// Returns the descriptions of the stand-in targets, in the order of the text.
+pub fn target_specs(shape: &ExampleShape, target_port: u16) -> Vec<TargetSpec> {
+    let mut specs = Vec::with_capacity(shape.targets_len());
+    for service in &shape.services {
+        for (shard, replicas) in service.replicas.iter().enumerate() {
+            let (start, end) = shard_range(shard, service.replicas.len());
+            for replica in 0..*replicas {
+                let index = specs.len();
+                let name = format!("{}-{shard:03}-{replica}", service.name);
+                let mut spec = TargetSpec::new(&name)
+                    .with_slots(service.slots)
+                    .with_service_time_us(SERVICE_TIME_US);
+                if service.kind == "search" {
+                    spec = spec.with_versions(&[INDEX_VERSION]);
+                }
+                spec.addr = SocketAddr::from((target_ip(index), target_port));
+                spec.shard = format!("{}-{shard:03}", service.name).into();
+                spec.range = KeyRange::new(start, end);
+                spec.connections_max = service.connections_max;
+                spec.connect_delay_ms = service.connect_delay_ms;
+                spec.seed = index as u64 + 1;
+                specs.push(spec);
+            }
+        }
+    }
+    specs
+}
--- /dev/null
+++ b/crates/limpet-bench/src/idle.rs
@@ -0,0 +1,107 @@
+//! Memory and CPU of processes over a time, from `/proc`.
+
+use std::{
+    io,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use clap::Args;
+use serde::Serialize;
+
+/// Clock ticks a second in `/proc/PID/stat`; Linux reports them in this unit on every platform.
+const TICKS_PER_S: f64 = 100.0;
+/// Interval between two readings of the memory.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Arguments of `idle`.
+#[derive(Clone, Debug, Args)]
+pub struct IdleArguments {
+    /// Process to measure; may be repeated.
+    #[arg(long, env = "LIMPET_BENCH_PIDS", required = true, value_delimiter = ',')]
+    pub pid: Vec<u32>,
+    /// Time of the measurement, in seconds.
+    #[arg(long, env = "LIMPET_BENCH_DURATION_S", default_value_t = 10)]
+    pub duration_s: u64,
+}
+
+/// Figures of one process.
+#[derive(Clone, Debug, Serialize)]
+pub struct ProcessFigures {
+    /// Process id.
+    pub pid: u32,
+    /// Largest resident memory seen.
+    pub resident_max_bytes: u64,
+    /// CPU time used, as a percentage of one core.
+    pub cpu_percent: f64,
+}
+
+/// Measures processes and prints their figures as JSON.
+///
+/// # Errors
+///
+/// Fails when a process is gone or `/proc` cannot be read.
+pub async fn run(arguments: IdleArguments) -> Result<bool, Box<dyn std::error::Error>> {
+    let figures = measure(&arguments.pid, Duration::from_secs(arguments.duration_s)).await?;
+    println!("{}", serde_json::to_string_pretty(&figures)?);
+    Ok(true)
+}
+
+/// Measures processes over a time.
+///
+/// # Errors
+///
+/// Fails when a process is gone or `/proc` cannot be read.
+pub async fn measure(pids: &[u32], duration: Duration) -> io::Result<Vec<ProcessFigures>> {
+    let started = Instant::now();
+    let mut before = Vec::with_capacity(pids.len());
+    for pid in pids {
+        before.push(cpu_s(*pid)?);
+    }
+    let mut resident_max_bytes = vec![0; pids.len()];
+    loop {
+        for (pid, max) in pids.iter().zip(&mut resident_max_bytes) {
+            *max = (*max).max(resident_bytes(*pid)?);
+        }
+        let left = duration.saturating_sub(started.elapsed());
+        if left.is_zero() {
+            break;
+        }
+        tokio::time::sleep(left.min(SAMPLE_INTERVAL)).await;
+    }
+    let elapsed_s = started.elapsed().as_secs_f64();
+    let mut figures = Vec::with_capacity(pids.len());
+    for ((pid, before), resident_max_bytes) in pids.iter().zip(before).zip(resident_max_bytes) {
+        figures.push(ProcessFigures {
+            pid: *pid,
+            resident_max_bytes,
+            cpu_percent: (cpu_s(*pid)? - before) / elapsed_s * 100.0,
+        });
+    }
+    Ok(figures)
+}
+
+fn cpu_s(pid: u32) -> io::Result<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    // The name in parentheses may hold spaces; user and system time are fields 14 and 15.
+    let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let ticks: u64 = after_name
+        .split_whitespace()
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse::<u64>().ok())
+        .sum();
+    Ok(ticks as f64 / TICKS_PER_S)
+}
+
+fn resident_bytes(pid: u32) -> io::Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line
+        .and_then(|line| line.split_whitespace().next())
+        .and_then(|field| field.parse::<u64>().ok())
+        .ok_or_else(|| io::Error::other(format!("process {pid} has no resident memory")))?;
+    Ok(kib * 1024)
+}
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -1,1 +1,7 @@
-//! Benchmarks, load generator and capacity slopes.
+//! Benchmarks and load generation.
+
+pub mod example;
+pub mod fanout;
+pub mod idle;
+pub mod load;
+pub mod ports;
