--- a/crates/limpet-bench/src/example/mod.rs
+++ b/crates/limpet-bench/src/example/mod.rs
@@ -21,7 +21,10 @@
     ExampleTeam, //
 };
 pub use specs::target_specs;
-pub use text::render;
+pub use text::{
+    example_key,
+    render, //
+};
 
 /// Port of the targets in the committed examples.
 pub const TARGET_PORT_DEFAULT: u16 = 9000;
--- a/crates/limpet-bench/src/example/text.rs
+++ b/crates/limpet-bench/src/example/text.rs
@@ -16,13 +16,13 @@
 }
 
 /// Returns the range of one shard out of `count` equal ones.
-pub fn shard_range(index: usize, count: usize) -> (u64, u64) {
+pub(crate) fn shard_range(index: usize, count: usize) -> (u64, u64) {
     let bound = |index: usize| index as u64 * KEY_SPACE_END / count as u64;
     (bound(index), bound(index + 1))
 }
 
 /// Returns the zone of a replica; the replicas of a shard are in different zones.
-pub fn zone_of(shape: &ExampleShape, shard: usize, replica: usize) -> &'static str {
+pub(crate) fn zone_of(shape: &ExampleShape, shard: usize, replica: usize) -> &'static str {
     shape.zones[(shard + replica) % shape.zones.len()]
 }
 
@@ -52,7 +52,11 @@
     }
     for team in &shape.teams {
         writeln!(out, "\n[[team]]\nname = \"{}\"", team.name)?;
-        writeln!(out, "rate_per_s = {}\nburst = {}", team.rate_per_s, team.burst)?;
+        writeln!(
+            out,
+            "rate_per_s = {}\nburst = {}",
+            team.rate_per_s, team.burst
+        )?;
         writeln!(out, "weight = {}", team.weight)?;
         let digest = blake3::hash(example_key(team.name).as_bytes()).to_hex();
         writeln!(out, "key_digests = [\"{digest}\"]")?;
@@ -63,7 +67,11 @@
     }
     for lookup in &shape.lookups {
         writeln!(out, "\n[[lookup]]\nname = \"{}\"", lookup.name)?;
-        writeln!(out, "service = \"{}\"\nkind = \"{}\"", lookup.service, lookup.kind)?;
+        writeln!(
+            out,
+            "service = \"{}\"\nkind = \"{}\"",
+            lookup.service, lookup.kind
+        )?;
         if !lookup.depends_on.is_empty() {
             writeln!(out, "depends_on = {:?}", lookup.depends_on)?;
         }
@@ -82,11 +90,23 @@
     writeln!(out, "kind = \"{}\"\nopen = {}", service.kind, service.open)?;
     writeln!(out, "snapshot = {}", service.kind == "search")?;
     writeln!(out, "slots = {}", service.slots)?;
-    writeln!(out, "connections_max = {}\ncold_limit = 1", service.connections_max)?;
-    writeln!(out, "hedge = {}\nmax_attempts = 2", service.kind != "accounts")?;
+    writeln!(
+        out,
+        "connections_max = {}\ncold_limit = 1",
+        service.connections_max
+    )?;
+    writeln!(
+        out,
+        "hedge = {}\nmax_attempts = 2",
+        service.kind != "accounts"
+    )?;
     for (shard, replicas) in service.replicas.iter().enumerate() {
         let (start, end) = shard_range(shard, service.replicas.len());
-        writeln!(out, "\n[[service.shard]]\nname = \"{}-{shard:03}\"", service.name)?;
+        writeln!(
+            out,
+            "\n[[service.shard]]\nname = \"{}-{shard:03}\"",
+            service.name
+        )?;
         writeln!(out, "start = {start}\nend = {end}")?;
         for replica in 0..*replicas {
             let zone = zone_of(shape, shard, replica);
--- /dev/null
+++ b/crates/limpet-bench/src/fanout/mod.rs
@@ -0,0 +1,1 @@
+//! Latency that the tier adds, beside a bare client.
--- a/crates/limpet-bench/src/idle.rs
+++ b/crates/limpet-bench/src/idle.rs
@@ -20,7 +20,12 @@
 #[derive(Clone, Debug, Args)]
 pub struct IdleArguments {
     /// Process to measure; may be repeated.
-    #[arg(long, env = "LIMPET_BENCH_PIDS", required = true, value_delimiter = ',')]
+    #[arg(
+        long,
+        env = "LIMPET_BENCH_PIDS",
+        required = true,
+        value_delimiter = ','
+    )]
     pub pid: Vec<u32>,
     /// Time of the measurement, in seconds.
     #[arg(long, env = "LIMPET_BENCH_DURATION_S", default_value_t = 10)]
--- /dev/null
+++ b/crates/limpet-bench/src/load/arguments.rs
@@ -0,0 +1,169 @@
+//! Arguments of `load`.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    str::FromStr,
+    time::Duration, //
+};
+
+use clap::Args;
+
+/// Arguments of `load`.
+#[derive(Clone, Debug, Args)]
+pub struct LoadArguments {
+    /// Entry as CALLER_ADDRESS/ADMIN_ADDRESS; may be repeated.
+    #[arg(
+        long,
+        env = "LIMPET_BENCH_ENTRIES",
+        required = true,
+        value_delimiter = ','
+    )]
+    pub entry: Vec<EntryAddr>,
+    /// Team as NAME:API_KEY:REQUESTS_PER_S; may be repeated.
+    #[arg(
+        long,
+        env = "LIMPET_BENCH_TEAMS",
+        required = true,
+        value_delimiter = ','
+    )]
+    pub team: Vec<TeamLoad>,
+    /// Lookup as NAME or NAME@record or NAME@order; may be repeated, drawn with equal chance.
+    #[arg(
+        long,
+        env = "LIMPET_BENCH_LOOKUPS",
+        required = true,
+        value_delimiter = ','
+    )]
+    pub lookup: Vec<LookupLoad>,
+    /// Time of the load, in seconds.
+    #[arg(long, env = "LIMPET_BENCH_DURATION_S", default_value_t = 10)]
+    pub duration_s: u64,
+    /// Deadline of each request, in milliseconds.
+    #[arg(long, env = "LIMPET_BENCH_DEADLINE_MS", default_value_t = 320)]
+    pub deadline_ms: u64,
+    /// Accept answers that do not cover every shard.
+    #[arg(long, env = "LIMPET_BENCH_ALLOW_PARTIAL")]
+    pub allow_partial: bool,
+    /// Seed of the arrivals, lookups and record keys.
+    #[arg(long, env = "LIMPET_BENCH_SEED", default_value_t = 1)]
+    pub seed: u64,
+    /// Longest wait until an entry is ready, in seconds.
+    #[arg(long, env = "LIMPET_BENCH_READY_TIMEOUT_S", default_value_t = 30)]
+    pub ready_timeout_s: u64,
+    /// File for the report; printed if absent.
+    #[arg(long, env = "LIMPET_BENCH_OUTPUT")]
+    pub output: Option<PathBuf>,
+}
+
+impl LoadArguments {
+    /// Returns the longest wait until an entry is ready.
+    pub const fn ready_timeout(&self) -> Duration {
+        Duration::from_secs(self.ready_timeout_s)
+    }
+}
+
+/// Why an argument is not understood.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{text:?} is not {expected}")]
+pub struct ArgumentError {
+    text: Box<str>,
+    expected: &'static str,
+}
+
+/// Addresses of one entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntryAddr {
+    /// Where callers are served.
+    pub caller: SocketAddr,
+    /// Where readiness is served.
+    pub admin: SocketAddr,
+}
+
+impl FromStr for EntryAddr {
+    type Err = ArgumentError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parse = || {
+            let (caller, admin) = text.split_once('/')?;
+            Some(Self {
+                caller: caller.parse().ok()?,
+                admin: admin.parse().ok()?,
+            })
+        };
+        parse().ok_or_else(|| error(text, "CALLER_ADDRESS/ADMIN_ADDRESS"))
+    }
+}
+
+/// Load of one team.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TeamLoad {
+    /// Name, for the report.
+    pub name: Box<str>,
+    /// API key.
+    pub key: Box<str>,
+    /// Requests per second.
+    pub rate_per_s: f64,
+}
+
+impl FromStr for TeamLoad {
+    type Err = ArgumentError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parse = || {
+            let (rest, rate) = text.rsplit_once(':')?;
+            let (name, key) = rest.split_once(':')?;
+            let rate_per_s: f64 = rate.parse().ok()?;
+            (rate_per_s.is_finite() && rate_per_s > 0.0).then_some(Self {
+                name: name.into(),
+                key: key.into(),
+                rate_per_s,
+            })
+        };
+        parse().ok_or_else(|| error(text, "NAME:API_KEY:REQUESTS_PER_S with a rate above 0"))
+    }
+}
+
+/// What a lookup needs beside its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LookupNeed {
+    /// Nothing: search and exists.
+    Nothing,
+    /// A record key.
+    Record,
+    /// A record key and a ticket.
+    Order,
+}
+
+/// One lookup of the load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LookupLoad {
+    /// Name in the configuration.
+    pub name: Box<str>,
+    /// What it needs.
+    pub need: LookupNeed,
+}
+
+impl FromStr for LookupLoad {
+    type Err = ArgumentError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (name, need) = match text.split_once('@') {
+            None => (text, LookupNeed::Nothing),
+            Some((name, "record")) => (name, LookupNeed::Record),
+            Some((name, "order")) => (name, LookupNeed::Order),
+            Some(_) => return Err(error(text, "NAME, NAME@record or NAME@order")),
+        };
+        Ok(Self {
+            name: name.into(),
+            need,
+        })
+    }
+}
+
+fn error(text: &str, expected: &'static str) -> ArgumentError {
+    ArgumentError {
+        text: text.into(),
+        expected,
+    }
+}
--- /dev/null
+++ b/crates/limpet-bench/src/load/client.rs
@@ -0,0 +1,129 @@
+//! HTTP/1.1 client with a pool of idle connections to one address.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
+};
+
+use bytes::Bytes;
+use http::{
+    Request,
+    Response, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::client::conn::http1::{
+    self,
+    SendRequest, //
+};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    task::JoinSet, //
+};
+
+type Connection = SendRequest<Full<Bytes>>;
+
+/// Why no complete response came.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ExchangeError {
+    /// No connection; nothing was sent.
+    #[error("cannot connect: {0}")]
+    Connect(std::io::Error),
+    /// The connection was closed before the request was written.
+    #[error("closed before the request was sent")]
+    NotSent,
+    /// The connection broke after the request may have been sent.
+    #[error("cut: {0}")]
+    Cut(hyper::Error),
+}
+
+/// Client of one address.
+#[derive(Debug)]
+pub(crate) struct PooledClient {
+    addr: SocketAddr,
+    idle: Mutex<Vec<Connection>>,
+    drivers: Mutex<JoinSet<()>>,
+}
+
+impl PooledClient {
+    /// Creates a client without connections.
+    pub(crate) fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            idle: Mutex::default(),
+            drivers: Mutex::default(),
+        }
+    }
+
+    /// Sends a request and reads the whole response; uses a new connection if an idle one is gone.
+    pub(crate) async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        loop {
+            let Some(connection) = self.take_idle() else {
+                let connection = self.connect().await?;
+                return self.send(connection, request).await;
+            };
+            match self.send(connection, request.clone()).await {
+                // The server closed the idle connection; a load balancer resends such a request.
+                Err(ExchangeError::NotSent) => {}
+                result => return result,
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        if connection.ready().await.is_err() {
+            return Err(ExchangeError::NotSent);
+        }
+        let response = match connection.send_request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_canceled() => return Err(ExchangeError::NotSent),
+            Err(error) => return Err(ExchangeError::Cut(error)),
+        };
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(ExchangeError::Cut)?;
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.push(connection);
+        Ok(Response::from_parts(head, body.to_bytes()))
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        while let Some(connection) = idle.pop() {
+            if !connection.is_closed() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self) -> Result<Connection, ExchangeError> {
+        let stream = TcpStream::connect(self.addr)
+            .await
+            .map_err(ExchangeError::Connect)?;
+        stream.set_nodelay(true).map_err(ExchangeError::Connect)?;
+        let (connection, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| ExchangeError::NotSent)?;
+        let mut drivers = self.drivers.lock().unwrap_or_else(PoisonError::into_inner);
+        // Ended drivers are removed here, so that their results do not pile up.
+        while drivers.try_join_next().is_some() {}
+        drivers.spawn(async move {
+            // The error reaches the request that used the connection.
+            let _ = driver.await;
+        });
+        Ok(connection)
+    }
+}
--- /dev/null
+++ b/crates/limpet-bench/src/load/report.rs
@@ -0,0 +1,272 @@
+//! Counts and latencies of a load.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::load::{
+    arguments::TeamLoad,
+    check::Outcome, //
+};
+
+/// Most faults that the report names.
+const FAULTS_NAMED_MAX: usize = 20;
+/// Largest latency that is told apart.
+const LATENCY_MAX_US: u64 = 60_000_000;
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// A whole response came.
+    Judged(Outcome),
+    /// No entry was ready.
+    NoEntry,
+    /// No connection; nothing was sent.
+    NotConnected,
+    /// The connection broke before the response was whole.
+    Cut,
+    /// No response came long after the deadline.
+    Lost,
+}
+
+/// Latency of answered requests, in microseconds.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Latency {
+    /// Median.
+    pub p50_us: u64,
+    /// 99th percentile.
+    pub p99_us: u64,
+    /// 99.9th percentile.
+    pub p999_us: u64,
+    /// Largest.
+    pub max_us: u64,
+}
+
+/// Figures of one team or lookup.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    /// Requests sent.
+    pub sent: u64,
+    /// Answers with full coverage.
+    pub complete: u64,
+    /// Answers with partial coverage.
+    pub partial: u64,
+    /// Refusals by code.
+    pub refused: BTreeMap<Box<str>, u64>,
+    /// Share of the sent requests that were answered.
+    pub served_share: f64,
+}
+
+/// The report of a load.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Time from the first request to the last response.
+    pub duration_s: f64,
+    /// Figures of all requests.
+    pub total: Figures,
+    /// Latency of the answers.
+    pub latency: Latency,
+    /// Figures by team.
+    pub teams: BTreeMap<Box<str>, Figures>,
+    /// Figures by lookup.
+    pub lookups: BTreeMap<Box<str>, Figures>,
+    /// Latency of the answers by lookup.
+    pub lookup_latency: BTreeMap<Box<str>, Latency>,
+    /// Refusals that do not say that nothing ran.
+    pub maybe_run: u64,
+    /// Responses that contradict their request or themselves.
+    pub wrong: u64,
+    /// Connections that broke before the response was whole.
+    pub cut: u64,
+    /// Requests without a response long after the deadline.
+    pub lost: u64,
+    /// Requests for which no entry was ready.
+    pub no_entry: u64,
+    /// Requests for which no connection was made.
+    pub not_connected: u64,
+    /// The first wrong responses.
+    pub faults: Vec<Box<str>>,
+}
+
+impl Report {
+    /// Returns whether no answer was wrong and no request was cut or lost.
+    pub const fn is_clean(&self) -> bool {
+        self.wrong == 0 && self.cut == 0 && self.lost == 0
+    }
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    total: Figures,
+    teams: Vec<Figures>,
+    lookups: BTreeMap<Box<str>, Figures>,
+    latency: Option<Histogram<u64>>,
+    lookup_latency: BTreeMap<Box<str>, Histogram<u64>>,
+    maybe_run: u64,
+    wrong: u64,
+    cut: u64,
+    lost: u64,
+    no_entry: u64,
+    not_connected: u64,
+    faults: Vec<Box<str>>,
+}
+
+/// Collects the endings of a load.
+#[derive(Debug)]
+pub(crate) struct Tally {
+    teams: Vec<Box<str>>,
+    counts: Mutex<Counts>,
+}
+
+impl Tally {
+    /// Creates an empty tally.
+    pub(crate) fn new(teams: &[TeamLoad]) -> Self {
+        let counts = Counts {
+            teams: vec![Figures::default(); teams.len()],
+            ..Counts::default()
+        };
+        Self {
+            teams: teams.iter().map(|team| team.name.clone()).collect(),
+            counts: Mutex::new(counts),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds one request.
+    pub(crate) fn note(&self, team: usize, lookup: &str, latency: Duration, ending: Ending) {
+        let mut counts = self.lock();
+        let counts = &mut *counts;
+        match &ending {
+            Ending::NoEntry => counts.no_entry += 1,
+            Ending::NotConnected => counts.not_connected += 1,
+            Ending::Cut => counts.cut += 1,
+            Ending::Lost => counts.lost += 1,
+            Ending::Judged(Outcome::Wrong(fault)) => {
+                counts.wrong += 1;
+                if counts.faults.len() < FAULTS_NAMED_MAX {
+                    counts.faults.push(format!("{lookup}: {fault}").into());
+                }
+            }
+            Ending::Judged(Outcome::Refused { not_run: false, .. }) => counts.maybe_run += 1,
+            Ending::Judged(Outcome::Complete | Outcome::Partial) => {
+                let us = u64::try_from(latency.as_micros()).unwrap_or(LATENCY_MAX_US);
+                record(counts.latency.get_or_insert_with(new_histogram), us);
+                let by_lookup = counts.lookup_latency.entry(lookup.into());
+                record(by_lookup.or_insert_with(new_histogram), us);
+            }
+            Ending::Judged(Outcome::Refused { .. }) => {}
+        }
+        counts.total.note(&ending);
+        counts.teams[team].note(&ending);
+        counts
+            .lookups
+            .entry(lookup.into())
+            .or_default()
+            .note(&ending);
+    }
+
+    /// Returns one line on how the load goes.
+    pub(crate) fn progress(&self, elapsed: Duration) -> String {
+        let counts = self.lock();
+        let refused: u64 = counts.total.refused.values().sum();
+        let p99_us = counts
+            .latency
+            .as_ref()
+            .map_or(0, |l| l.value_at_quantile(0.99));
+        format!(
+            "{:>4} s: {} sent, {} complete, {} partial, {refused} refused, {} cut, {} lost, \
+             {} wrong, p99 {:.1} ms",
+            elapsed.as_secs(),
+            counts.total.sent,
+            counts.total.complete,
+            counts.total.partial,
+            counts.cut,
+            counts.lost,
+            counts.wrong,
+            p99_us as f64 / 1e3,
+        )
+    }
+
+    /// Returns the report.
+    pub(crate) fn report(&self, elapsed: Duration) -> Report {
+        let counts = self.lock();
+        let teams = self.teams.iter().cloned();
+        let lookup_latency = counts.lookup_latency.iter();
+        Report {
+            duration_s: elapsed.as_secs_f64(),
+            total: counts.total.with_share(),
+            latency: counts.latency.as_ref().map(summary).unwrap_or_default(),
+            teams: teams
+                .zip(counts.teams.iter().map(Figures::with_share))
+                .collect(),
+            lookups: counts
+                .lookups
+                .iter()
+                .map(|(name, figures)| (name.clone(), figures.with_share()))
+                .collect(),
+            lookup_latency: lookup_latency
+                .map(|(name, histogram)| (name.clone(), summary(histogram)))
+                .collect(),
+            maybe_run: counts.maybe_run,
+            wrong: counts.wrong,
+            cut: counts.cut,
+            lost: counts.lost,
+            no_entry: counts.no_entry,
+            not_connected: counts.not_connected,
+            faults: counts.faults.clone(),
+        }
+    }
+}
+
+impl Figures {
+    fn note(&mut self, ending: &Ending) {
+        self.sent += 1;
+        match ending {
+            Ending::Judged(Outcome::Complete) => self.complete += 1,
+            Ending::Judged(Outcome::Partial) => self.partial += 1,
+            Ending::Judged(Outcome::Refused { code, .. }) => {
+                *self.refused.entry(code.clone()).or_default() += 1;
+            }
+            _ => {}
+        }
+    }
+
+    fn with_share(&self) -> Self {
+        let served = self.complete + self.partial;
+        Self {
+            served_share: served as f64 / self.sent.max(1) as f64,
+            ..self.clone()
+        }
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    // Three digits resolve 0.1% of a value; the constructor refuses only more than five.
+    Histogram::new(3).unwrap_or_else(|_| unreachable!("three significant digits are allowed"))
+}
+
+fn record(histogram: &mut Histogram<u64>, us: u64) {
+    histogram.saturating_record(us.min(LATENCY_MAX_US));
+}
+
+/// Returns the percentiles of a histogram of microseconds.
+pub(crate) fn summary(histogram: &Histogram<u64>) -> Latency {
+    Latency {
+        p50_us: histogram.value_at_quantile(0.5),
+        p99_us: histogram.value_at_quantile(0.99),
+        p999_us: histogram.value_at_quantile(0.999),
+        max_us: histogram.max(),
+    }
+}
