Test limpetctl: check, arguments, replies

Cause: exit codes and places of problems are relied on by scripts. Change: tests run the program against good and bad texts, wrong command lines and a scripted entry; an order must be sent again exactly once with its ticket, and a response to another request must not be shown as an answer.

--- /dev/null
+++ b/crates/limpetctl/tests/arguments.rs
@@ -0,0 +1,56 @@
+//! Guards against wrong command lines that are run anyway or end with another code than 2.
+
+use std::process::Command;
+
+limpet_testkit::cases! {
+    bad_usage_ends_with_code_2:
+    no_command => &[],
+    unknown_command => &["find"],
+    check_without_file => &["check"],
+    search_without_lookup => &["search"],
+    record_without_key => &["record", "order-status"],
+    entry_is_no_address => &["search", "stock-search", "--entry", "here"],
+    deadline_of_zero => &["search", "stock-search", "--deadline-ms", "0"],
+    two_bodies => &["search", "stock-search", "--body", "a", "--body-file", "b"],
+    body_file_is_missing => &["search", "stock-search", "--body-file", "no-such-file"],
+    key_with_line_break => &["search", "stock-search", "--key", "a\nb"],
+    watch_without_pause => &["watch", "stock-search", "--interval-ms", "0"],
+}
+
+fn bad_usage_ends_with_code_2(arguments: &[&str]) {
+    let output = Command::new(env!("CARGO_BIN_EXE_limpetctl"))
+        .args(arguments)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    assert!(!output.stderr.is_empty());
+}
+
+#[test]
+fn a_bad_environment_variable_ends_with_code_2() {
+    let output = Command::new(env!("CARGO_BIN_EXE_limpetctl"))
+        .args(["search", "stock-search"])
+        .env("LIMPET_ENTRY", "nowhere")
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+}
+
+#[test]
+fn help_shows_examples_and_exit_codes_but_no_key() {
+    let output = Command::new(env!("CARGO_BIN_EXE_limpetctl"))
+        .args(["search", "--help"])
+        .env("LIMPET_KEY", "secret-of-a-team")
+        .output()
+        .unwrap();
+    assert!(!String::from_utf8_lossy(&output.stdout).contains("secret-of-a-team"));
+    let output = Command::new(env!("CARGO_BIN_EXE_limpetctl"))
+        .arg("--help")
+        .output()
+        .unwrap();
+    let help = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(
+        help.contains("Exit codes:") && help.contains("Examples:"),
+        "{help}"
+    );
+}
--- /dev/null
+++ b/crates/limpetctl/tests/check.rs
@@ -0,0 +1,87 @@
+//! Guards against problems without a place, and against exit codes that scripts cannot tell apart.
+
+use std::{
+    path::PathBuf,
+    process::{
+        Command,
+        Output, //
+    },
+};
+
+fn limpetctl(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_limpetctl"))
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn check(text: &[u8], extra: &[&str]) -> (Option<i32>, String) {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("fleet.toml");
+    std::fs::write(&file, text).unwrap();
+    let mut arguments = vec!["check", file.to_str().unwrap()];
+    arguments.extend(extra);
+    let output = limpetctl(&arguments);
+    let printed = String::from_utf8(output.stdout).unwrap();
+    let shown = printed.replace(file.to_str().unwrap(), "FILE");
+    (output.status.code(), shown)
+}
+
+fn example(name: &str) -> Vec<u8> {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    std::fs::read(root.join("examples").join(name)).unwrap()
+}
+
+limpet_testkit::cases! {
+    a_shipped_example_passes:
+    authority => "authority.toml",
+    peachtree => "peachtree.toml",
+}
+
+fn a_shipped_example_passes(name: &str) {
+    let (code, printed) = check(&example(name), &[]);
+    assert_eq!(code, Some(0), "{printed}");
+    assert!(printed.starts_with("FILE: ok: "), "{printed}");
+}
+
+mod problems {
+    use super::check;
+
+    limpet_testkit::cases! {
+        a_problem_is_printed_with_its_place:
+        impossible_number => (&b"[fleet]\nvms_max = 0\n"[..], "FILE:2:11: "),
+        unknown_field => (&b"[fleet]\nvms_max = 3\nfoo = 1\n"[..], "FILE:3:1: "),
+        not_toml => (&b"[fleet\n"[..], "FILE:1:"),
+        not_utf8 => (&b"[fleet]\n# \xff\n"[..], "FILE:2:3: bytes that are not UTF-8; save"),
+    }
+
+    fn a_problem_is_printed_with_its_place((text, place): (&[u8], &str)) {
+        let (code, printed) = check(text, &[]);
+        assert_eq!(code, Some(1), "{printed}");
+        assert!(
+            printed.lines().any(|line| line.starts_with(place)),
+            "{printed}"
+        );
+    }
+}
+
+#[test]
+fn problems_are_listed_as_json() {
+    let (code, printed) = check(b"[fleet]\nvms_max = 0\n", &["--json"]);
+    assert_eq!(code, Some(1));
+    let records: serde_json::Value = serde_json::from_str(&printed).unwrap();
+    assert_eq!(records[0]["line"], 2);
+    assert_eq!(records[0]["column"], 11);
+    assert!(
+        records[0]["right"]
+            .as_str()
+            .is_some_and(|right| !right.is_empty())
+    );
+}
+
+#[test]
+fn a_missing_file_is_bad_usage() {
+    let output = limpetctl(&["check", "no-such-file.toml"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("no-such-file.toml"));
+}
--- /dev/null
+++ b/crates/limpetctl/tests/queries.rs
@@ -0,0 +1,172 @@
+//! Guards against a refusal shown as an answer, a crossed response and a doubled order.
+
+use std::{
+    io::{
+        BufRead as _,
+        BufReader,
+        Read as _,
+        Write as _, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    process::Command,
+    thread::JoinHandle,
+};
+
+/// Request line, headers in lower case and body of one request.
+type Seen = (String, Vec<String>, String);
+
+/// Answers one request per response, in order; `REQUEST_ID` stands for the id of the request.
+fn entry(
+    responses: &'static [(&'static str, &'static str)],
+) -> (SocketAddr, JoinHandle<Vec<Seen>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let thread = std::thread::spawn(move || {
+        let answer = |(head, body): &(&str, &str)| {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            let mut lines = Vec::new();
+            loop {
+                let mut line = String::new();
+                reader.read_line(&mut line).unwrap();
+                if line.trim().is_empty() {
+                    break;
+                }
+                lines.push(line.trim().to_owned());
+            }
+            let value = |name: &str| {
+                let found = lines.iter().find_map(|line| line.strip_prefix(name));
+                found.unwrap_or_default().to_owned()
+            };
+            let length = value("content-length: ").parse().unwrap_or(0);
+            let mut sent = vec![0; length];
+            reader.read_exact(&mut sent).unwrap();
+            let body = body.replace("REQUEST_ID", &value("x-limpet-request-id: "));
+            let length = body.len();
+            write!(
+                stream,
+                "HTTP/1.1 {head}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+            )
+            .unwrap();
+            let first = lines.remove(0);
+            (first, lines, String::from_utf8(sent).unwrap())
+        };
+        responses.iter().map(answer).collect()
+    });
+    (addr, thread)
+}
+
+fn limpetctl(addr: SocketAddr, arguments: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_limpetctl"))
+        .args(arguments)
+        .args(["--entry", &addr.to_string(), "--key", "example-key-retail"])
+        .output()
+        .unwrap();
+    (
+        output.status.code(),
+        String::from_utf8(output.stdout).unwrap(),
+    )
+}
+
+const COMPLETE: &str = r#"{"request_id":"REQUEST_ID","lookup":"s","snapshot":4,"complete":true,
+    "coverage":{"answered":[{"shard":"a","start":0,"end":4294967296}],"missing":[]},
+    "found":true,"results":[{"shard":"a","body":"oak"}]}"#;
+const PARTIAL: &str = r#"{"request_id":"REQUEST_ID","lookup":"s","snapshot":4,"complete":false,
+    "coverage":{"answered":[{"shard":"a","start":0,"end":9}],
+    "missing":[{"shard":"b","start":9,"end":4294967296,"reason":"no_target"}]},
+    "found":false,"results":[]}"#;
+const CROSSED: &str = r#"{"request_id":"00000000000000000000000000000001","lookup":"s",
+    "snapshot":4,"complete":true,"coverage":{"answered":[],"missing":[]},"results":[]}"#;
+const RATE_LIMITED: &str = r#"{"code":"rate_limited","not_run":true,"message":"over the rate",
+    "request_id":"REQUEST_ID"}"#;
+const UNKNOWN: &str = r#"{"code":"outcome_unknown","not_run":false,"message":"issuer is gone",
+    "request_id":"REQUEST_ID"}"#;
+const TICKET_REQUIRED: &str = r#"{"code":"ticket_required","not_run":true,"message":"send again",
+    "request_id":"REQUEST_ID"}"#;
+
+limpet_testkit::cases! {
+    a_reply_is_printed_with_its_exit_code:
+    complete => (&[("200 OK", COMPLETE)], 0, "coverage: complete, 1 of 1 shards, snapshot 4"),
+    partial => (&[("200 OK", PARTIAL)], 3, "missing: b 9..4294967296: no_target"),
+    refused => (&[("429 Too Many Requests", RATE_LIMITED)], 4, "refused: rate_limited (HTTP 429"),
+    unknown => (&[("502 Bad Gateway", UNKNOWN)], 5, "refused: outcome_unknown (HTTP 502"),
+    crossed => (&[("200 OK", CROSSED)], 6, "unreadable: HTTP 200: response to request 0000"),
+    not_json => (&[("200 OK", "oak")], 6, "unreadable: HTTP 200"),
+}
+
+fn a_reply_is_printed_with_its_exit_code(
+    (responses, code, text): (&'static [(&'static str, &'static str)], i32, &str),
+) {
+    let (addr, entry) = entry(responses);
+    let (exit, printed) = limpetctl(addr, &["search", "stock-search", "--body", "oak 4mm"]);
+    assert_eq!(exit, Some(code), "{printed}");
+    assert!(printed.contains(text), "{printed}");
+    let (first, headers, body) = entry.join().unwrap().remove(0);
+    assert_eq!(first, "POST /v1/lookups/stock-search HTTP/1.1");
+    assert!(headers.contains(&"authorization: Bearer example-key-retail".to_owned()));
+    assert!(headers.contains(&"x-limpet-deadline-ms: 320".to_owned()));
+    assert_eq!(body, "oak 4mm");
+}
+
+#[test]
+fn an_order_gets_a_ticket_and_is_sent_again_once() {
+    let (addr, entry) = entry(&[
+        (
+            "428 Precondition Required\r\nx-limpet-ticket: t-1",
+            TICKET_REQUIRED,
+        ),
+        ("200 OK", COMPLETE),
+    ]);
+    let (exit, printed) = limpetctl(addr, &["order", "place-order", "A-1", "--body", "12"]);
+    assert_eq!(exit, Some(0), "{printed}");
+    let seen = entry.join().unwrap();
+    let ticket = "x-limpet-ticket: t-1".to_owned();
+    assert!(!seen[0].1.contains(&ticket));
+    assert!(seen[1].1.contains(&ticket));
+    assert!(seen[1].1.contains(&"x-limpet-record: A-1".to_owned()));
+    assert_eq!(seen[1].2, "12");
+}
+
+#[test]
+fn an_order_with_a_ticket_that_is_refused_is_not_sent_again() {
+    let (addr, entry) = entry(&[("428 Precondition Required", TICKET_REQUIRED)]);
+    let (exit, _) = limpetctl(addr, &["order", "place-order", "A-1", "--ticket", "t-0"]);
+    assert_eq!(exit, Some(4));
+    assert_eq!(entry.join().unwrap().len(), 1);
+}
+
+#[test]
+fn watch_prints_one_line_for_each_query() {
+    let (addr, entry) = entry(&[("200 OK", COMPLETE), ("200 OK", PARTIAL)]);
+    let arguments = [
+        "watch",
+        "stock-search",
+        "--count",
+        "2",
+        "--interval-ms",
+        "10",
+    ];
+    let (exit, printed) = limpetctl(addr, &arguments);
+    assert_eq!(exit, Some(3), "{printed}");
+    let lines: Vec<&str> = printed.lines().collect();
+    assert!(
+        lines[0].ends_with("complete 1/1 shards found=true"),
+        "{printed}"
+    );
+    assert!(
+        lines[1].ends_with("partial 1/2 shards found=false"),
+        "{printed}"
+    );
+    entry.join().unwrap();
+}
+
+#[test]
+fn a_closed_port_ends_with_code_6() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    assert_eq!(limpetctl(addr, &["search", "stock-search"]).0, Some(6));
+}
