--- /dev/null
+++ b/crates/limpetshuntd/tests/admin.rs
@@ -0,0 +1,234 @@
+//! Guards against a process that reports ready while it must not get work, and against a status
+//! or metrics endpoint that is missing or outlives its process.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
+};
+
+use clap::Parser as _;
+use limpet_config::Config;
+use limpet_peer::PeerClient;
+use limpet_types::{
+    NodeId, Phase, Role,
+    status::{
+        ExplainDocument,
+        StatusDocument, //
+    },
+};
+use limpetshuntd::{
+    Blackboard, Settings, admin,
+    blackboard::InForce,
+    controllers::Controllers,
+    daemon::{
+        Context,
+        Services,
+        StartError, //
+    },
+};
+use tokio::{
+    io::{
+        AsyncReadExt as _,
+        AsyncWriteExt as _, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+};
+
+const TEXT: &str = include_str!("../../../examples/authority.toml");
+
+struct Admin {
+    context: Context,
+    controllers: Controllers,
+    addr: SocketAddr,
+}
+
+async fn start(role: Role) -> Admin {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    let common = "--ip 127.0.0.1 --zone zone-a --config-service 127.0.0.1:1 --vm-list 127.0.0.1:1";
+    let (name, caller) = match role {
+        Role::Entry => ("entry", "--caller-addr 127.0.0.1:0"),
+        Role::Relay => ("relay", ""),
+    };
+    let line = format!("limpetshuntd {name} {common} --admin-addr {addr} {caller}");
+    let settings = Settings::try_parse_from(line.split_whitespace()).unwrap();
+    let node = NodeId::new("127.0.0.1:7101".parse().unwrap(), 7);
+    let context = Context {
+        board: Blackboard::new(node, role, "zone-a".into()),
+        peers: PeerClient::new(),
+        settings: Arc::new(settings),
+        services: Arc::new(Services::default()),
+    };
+    let mut controllers = Controllers::new();
+    admin::start(&context, &mut controllers).await.unwrap();
+    Admin {
+        context,
+        controllers,
+        addr,
+    }
+}
+
+impl Admin {
+    fn install(&self, text: &str) {
+        let in_force = InForce {
+            revision: 12,
+            digest: [0xab; 32],
+            text: text.into(),
+            config: Config::parse(text).unwrap(),
+        };
+        self.context.board.config.store(Some(Arc::new(in_force)));
+    }
+
+    fn serve_fresh(&self) {
+        let board = &self.context.board;
+        board.phase.send_replace(Phase::Serving);
+        board.fresh_until_us.store(u64::MAX / 2, Ordering::Release);
+    }
+
+    async fn get(&self, path: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.addr).await.unwrap();
+        let request = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut reply = String::new();
+        stream.read_to_string(&mut reply).await.unwrap();
+        let status = reply.split_whitespace().nth(1).unwrap().parse().unwrap();
+        let body = reply.split_once("\r\n\r\n").unwrap().1;
+        (status, body.to_owned())
+    }
+}
+
+#[tokio::test]
+async fn readiness_follows_phase_and_freshness() {
+    let admin = start(Role::Entry).await;
+    let (status, body) = admin.get("/ready").await;
+    assert_eq!(
+        (status, body.starts_with("starting:")),
+        (503, true),
+        "{body}"
+    );
+    admin.install(TEXT);
+    admin.serve_fresh();
+    assert_eq!(admin.get("/ready").await, (200, "ready\n".into()));
+    admin
+        .context
+        .board
+        .fresh_until_us
+        .store(0, Ordering::Release);
+    let (status, body) = admin.get("/ready").await;
+    assert_eq!(
+        (status, body.starts_with("config_stale:")),
+        (503, true),
+        "{body}"
+    );
+    admin.context.board.phase.send_replace(Phase::Draining);
+    let (status, body) = admin.get("/ready").await;
+    assert_eq!(
+        (status, body.starts_with("draining:")),
+        (503, true),
+        "{body}"
+    );
+    admin.controllers.stop().await;
+}
+
+#[tokio::test]
+async fn an_entry_in_a_zone_that_is_out_is_not_ready_but_a_relay_is() {
+    let out = TEXT.replacen("state = \"in\"", "state = \"out\"", 1);
+    let entry = start(Role::Entry).await;
+    entry.install(&out);
+    entry.serve_fresh();
+    let (status, body) = entry.get("/ready").await;
+    assert_eq!(
+        (status, body.starts_with("zone_out:")),
+        (503, true),
+        "{body}"
+    );
+    entry.controllers.stop().await;
+    let relay = start(Role::Relay).await;
+    relay.install(&out);
+    relay.serve_fresh();
+    assert_eq!(relay.get("/ready").await.0, 200);
+    relay.controllers.stop().await;
+}
+
+#[tokio::test]
+async fn status_names_the_configuration_and_every_target() {
+    let admin = start(Role::Entry).await;
+    admin.install(TEXT);
+    let (status, body) = admin.get("/status").await;
+    assert_eq!(status, 200);
+    let document: StatusDocument = serde_json::from_str(&body).unwrap();
+    let config = document.config.unwrap();
+    assert_eq!((config.revision, &config.digest[..4]), (12, "abab"));
+    assert_eq!(document.targets.len(), 105);
+    assert!(!document.ready && document.not_ready_reason.is_some());
+    let peer: StatusDocument =
+        serde_json::from_str(&admin::handle_status(&admin.context).await.json).unwrap();
+    assert_eq!(peer.node, document.node);
+    admin.controllers.stop().await;
+}
+
+#[tokio::test]
+async fn explain_lists_dependencies_first_and_only_the_shard_of_the_record() {
+    let admin = start(Role::Entry).await;
+    assert_eq!(admin.get("/explain?lookup=quote").await.0, 503);
+    admin.install(TEXT);
+    assert_eq!(admin.get("/explain").await.0, 400);
+    assert_eq!(admin.get("/explain?lookup=nothing").await.0, 404);
+    let (status, body) = admin.get("/explain?lookup=quote&record=A%2D1").await;
+    assert_eq!(status, 200, "{body}");
+    let document: ExplainDocument = serde_json::from_str(&body).unwrap();
+    let names: Vec<&str> = document.steps.iter().map(|step| &*step.lookup).collect();
+    assert_eq!(names, ["stock-search", "quote"]);
+    assert_eq!(document.steps[0].shards.len(), 10);
+    assert_eq!(document.steps[1].shards.len(), 1);
+    let replica = &document.steps[1].shards[0].replicas[0];
+    assert!(
+        !replica.usable && replica.reason.contains("own"),
+        "{replica:?}"
+    );
+    admin.controllers.stop().await;
+}
+
+#[tokio::test]
+async fn metrics_are_served_and_unknown_paths_are_not() {
+    let admin = start(Role::Relay).await;
+    let second = start(Role::Relay).await;
+    assert_eq!(admin.get("/metrics").await.0, 200);
+    assert_eq!(second.get("/metrics").await.0, 200);
+    assert_eq!(admin.get("/nothing").await.0, 404);
+    second.controllers.stop().await;
+    admin.controllers.stop().await;
+}
+
+#[tokio::test]
+async fn the_port_is_free_after_the_stop_even_with_an_open_connection() {
+    let admin = start(Role::Relay).await;
+    let idle = TcpStream::connect(admin.addr).await.unwrap();
+    admin.get("/ready").await;
+    let addr = admin.addr;
+    admin.controllers.stop().await;
+    assert!(TcpStream::connect(addr).await.is_err());
+    drop(idle);
+}
+
+#[tokio::test]
+async fn a_taken_address_is_a_start_error() {
+    let admin = start(Role::Relay).await;
+    let mut controllers = Controllers::new();
+    let error = admin::start(&admin.context, &mut controllers)
+        .await
+        .unwrap_err();
+    assert!(
+        matches!(error, StartError::Bind { addr, .. } if addr == admin.addr),
+        "{error}"
+    );
+    controllers.stop().await;
+    admin.controllers.stop().await;
+}
