--- a/crates/limpet-bench/src/load/mod.rs
+++ b/crates/limpet-bench/src/load/mod.rs
@@ -19,6 +19,7 @@
     EntryAddr,
     LoadArguments,
     LookupLoad,
+    LookupNeed,
     TeamLoad, //
 };
 pub use check::{
