Measure the latency that the tier adds (fanout)

Also: an exists query with a yes names the rest as not_needed, which counts as complete. Ruled out: separate runs, in which noise of the machine meets one side.

--- /dev/null
+++ b/crates/limpet-bench/src/fanout/tier.rs
@@ -0,0 +1,163 @@
+//! One entry and one relay in this process.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use clap::Parser as _;
+use http::Request;
+use http_body_util::Full;
+use limpet_fakes::platform::{
+    FakeVm,
+    Frontend,
+    Platform, //
+};
+use limpetshuntd::{
+    Settings,
+    daemon, //
+};
+use tokio::{
+    sync::watch,
+    task::JoinHandle, //
+};
+
+use crate::{
+    example::{
+        ExampleShape,
+        example_key,
+        render, //
+    },
+    load::{
+        LookupNeed,
+        Outcome,
+        PooledClient,
+        classify, //
+    },
+    ports::free_ports,
+};
+
+/// Longest wait until the first complete answer: votes, ownership and cold targets take seconds.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+/// Pause between two tries to get the first complete answer.
+const READY_PAUSE: Duration = Duration::from_millis(100);
+/// Deadline of each query; long, so that no slow answer is left out of the latencies.
+const DEADLINE_MS: u32 = 5_000;
+
+/// Why the tier did not start.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum TierError {
+    /// Settings are refused.
+    #[error("settings: {0}")]
+    Settings(#[from] clap::Error),
+    /// An address cannot be bound.
+    #[error("platform: {0}")]
+    Platform(#[from] std::io::Error),
+    /// No complete answer came.
+    #[error("no complete answer within {} s", READY_TIMEOUT.as_secs())]
+    NotReady,
+}
+
+/// The running tier.
+#[derive(Debug)]
+pub(crate) struct Tier {
+    client: PooledClient,
+    stop: watch::Sender<bool>,
+    daemons: Vec<JoinHandle<()>>,
+    frontend: Frontend,
+}
+
+impl Tier {
+    /// Starts the tier and waits until it answers completely.
+    pub(crate) async fn start(shape: &ExampleShape, target_port: u16) -> Result<Self, TierError> {
+        let platform = Platform::new();
+        platform.set_text(&render(shape, target_port));
+        platform.set_vms(vec![FakeVm {
+            name: "vm-1".into(),
+            ip: [127, 0, 0, 1].into(),
+            zone: "zone-a".into(),
+            state: "live".into(),
+        }]);
+        let frontend = platform.open(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let ports = free_ports(5)?;
+        let [entry_peer, relay_peer, entry_admin, relay_admin, caller] = ports[..] else {
+            return Err(std::io::Error::other("too few free ports").into());
+        };
+        let common = format!(
+            "--ip 127.0.0.1 --zone zone-a --entry-peer-port {entry_peer} --relay-peer-port \
+             {relay_peer} --config-service {platform} --vm-list {platform}",
+            platform = frontend.addr(),
+        );
+        let lines = [
+            format!("limpetshuntd relay {common} --admin-addr 127.0.0.1:{relay_admin}"),
+            format!(
+                "limpetshuntd entry {common} --admin-addr 127.0.0.1:{entry_admin} \
+                 --caller-addr 127.0.0.1:{caller}"
+            ),
+        ];
+        let stop = watch::Sender::new(false);
+        let mut daemons = Vec::with_capacity(lines.len());
+        for line in &lines {
+            let settings = Settings::try_parse_from(line.split_whitespace())?;
+            daemons.push(tokio::spawn(run_daemon(settings, stop.subscribe())));
+        }
+        let tier = Self {
+            client: PooledClient::new(SocketAddr::from(([127, 0, 0, 1], caller))),
+            stop,
+            daemons,
+            frontend,
+        };
+        let ready = tokio::time::timeout(READY_TIMEOUT, tier.wait_ready()).await;
+        if ready.is_err() {
+            tier.stop().await;
+            return Err(TierError::NotReady);
+        }
+        Ok(tier)
+    }
+
+    async fn wait_ready(&self) {
+        while !self
+            .query(&format!("{:032x}", rand::random::<u128>()))
+            .await
+        {
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+    }
+
+    /// Sends one query; returns whether the answer is complete.
+    pub(crate) async fn query(&self, request_id: &str) -> bool {
+        let request = Request::post("/v1/lookups/flat-search")
+            .header("host", "entry")
+            .header("authorization", format!("Bearer {}", example_key("bench")))
+            .header("x-limpet-request-id", request_id)
+            .header("x-limpet-deadline-ms", DEADLINE_MS)
+            .body(Full::new(Bytes::from_static(b"query")));
+        let Ok(request) = request else { return false };
+        let reply = self.client.exchange(request).await;
+        reply.is_ok_and(|reply| {
+            classify(&reply, request_id, LookupNeed::Nothing) == Outcome::Complete
+        })
+    }
+
+    /// Drains both processes and waits for them.
+    pub(crate) async fn stop(self) {
+        self.stop.send_replace(true);
+        for daemon in self.daemons {
+            if let Err(error) = daemon.await {
+                eprintln!("daemon ended badly: {error}");
+            }
+        }
+        self.frontend.stop().await;
+    }
+}
+
+async fn run_daemon(settings: Settings, mut stopped: watch::Receiver<bool>) {
+    let shutdown = async move {
+        // A dropped sender ends the daemon too.
+        let _ = stopped.wait_for(|stopped| *stopped).await;
+    };
+    if let Err(error) = daemon::run(settings, shutdown).await {
+        eprintln!("daemon did not start: {error}");
+    }
+}
--- a/crates/limpet-bench/src/load/mod.rs
+++ b/crates/limpet-bench/src/load/mod.rs
@@ -26,7 +26,11 @@
     Outcome,
     classify, //
 };
-pub use report::Report;
+pub(crate) use client::PooledClient;
+pub use report::{
+    Latency,
+    Report, //
+};
 
 use crate::load::{
     balancer::Balancer,
--- a/crates/limpet-bench/src/load/report.rs
+++ b/crates/limpet-bench/src/load/report.rs
@@ -207,7 +207,7 @@
         Report {
             duration_s: elapsed.as_secs_f64(),
             total: counts.total.with_share(),
-            latency: counts.latency.as_ref().map(summary).unwrap_or_default(),
+            latency: counts.latency.as_ref().map(Latency::of).unwrap_or_default(),
             teams: teams
                 .zip(counts.teams.iter().map(Figures::with_share))
                 .collect(),
@@ -217,7 +217,7 @@
                 .map(|(name, figures)| (name.clone(), figures.with_share()))
                 .collect(),
             lookup_latency: lookup_latency
-                .map(|(name, histogram)| (name.clone(), summary(histogram)))
+                .map(|(name, histogram)| (name.clone(), Latency::of(histogram)))
                 .collect(),
             maybe_run: counts.maybe_run,
             wrong: counts.wrong,
@@ -261,12 +261,14 @@
     histogram.saturating_record(us.min(LATENCY_MAX_US));
 }
 
-/// Returns the percentiles of a histogram of microseconds.
-pub(crate) fn summary(histogram: &Histogram<u64>) -> Latency {
-    Latency {
-        p50_us: histogram.value_at_quantile(0.5),
-        p99_us: histogram.value_at_quantile(0.99),
-        p999_us: histogram.value_at_quantile(0.999),
-        max_us: histogram.max(),
+impl Latency {
+    /// Returns the percentiles of a histogram of microseconds.
+    pub(crate) fn of(histogram: &Histogram<u64>) -> Self {
+        Self {
+            p50_us: histogram.value_at_quantile(0.5),
+            p99_us: histogram.value_at_quantile(0.99),
+            p999_us: histogram.value_at_quantile(0.999),
+            max_us: histogram.max(),
+        }
     }
 }
--- a/crates/limpet-bench/src/main.rs
+++ b/crates/limpet-bench/src/main.rs
@@ -8,6 +8,7 @@
 };
 use limpet_bench::{
     example,
+    fanout,
     idle,
     load,
     ports, //
@@ -46,6 +47,7 @@
     /// Send queries at given rates and measure latency, coverage and refusals.
     Load(load::LoadArguments),
     /// Measure the latency that the tier adds, beside a bare client with the same fan-out.
+    Fanout(fanout::FanoutArguments),
     /// Measure memory and CPU of processes.
     Idle(idle::IdleArguments),
     /// Write an example configuration and the description of its stand-in targets.
@@ -58,6 +60,7 @@
 async fn main() -> ExitCode {
     let result = match Arguments::parse().command {
         Command::Load(arguments) => load::run(arguments).await,
+        Command::Fanout(arguments) => fanout::run(arguments).await,
         Command::Idle(arguments) => idle::run(arguments).await,
         Command::Example(arguments) => example::run(&arguments),
         Command::Ports(arguments) => ports::run(&arguments),
--- a/crates/limpetctl/src/command/query.rs
+++ b/crates/limpetctl/src/command/query.rs
@@ -109,7 +109,7 @@
         let request = self.request(request_id)?;
         let timeout = Duration::from_millis(self.send.deadline_ms) + RESPONSE_GRACE;
         let response = http_client::exchange(self.send.entry, request, timeout).await?;
-        Ok(Reply::new(response, request_id))
+        Ok(Reply::new(response, request_id, self.ticket.is_some()))
     }
 
     fn request(&self, request_id: u128) -> Result<Request<Full<Bytes>>, QueryError> {
--- a/crates/limpetctl/src/command/reply.rs
+++ b/crates/limpetctl/src/command/reply.rs
@@ -42,12 +42,24 @@
     dependencies: std::collections::BTreeMap<Box<str>, Answer>,
 }
 
+impl Answer {
+    /// Returns whether nothing is missing that could change the answer.
+    ///
+    /// An exists query ends with its first yes and names the rest as not needed.
+    fn is_decided(&self) -> bool {
+        let is_needed = |range: &Range| range.reason.as_deref() != Some("not_needed");
+        self.complete || !self.coverage.missing.iter().any(is_needed)
+    }
+}
+
 /// The result of one shard.
 #[derive(Clone, Debug, Deserialize)]
 struct ShardResult {
     shard: Box<str>,
     #[serde(default)]
     body: Value,
+    /// Set instead of `body` if that is not UTF-8.
+    body_base64: Option<Box<str>>,
 }
 
 /// The fields of a refusal.
@@ -79,14 +91,21 @@
 
 impl Reply {
     /// Reads a response; a response to another request is unreadable, not an answer.
-    pub(crate) fn new(response: Response<Bytes>, request_id: RequestId) -> Self {
+    ///
+    /// The body under a ticket may be the recorded outcome of an earlier request; there the header
+    /// tells which request the response belongs to.
+    pub(crate) fn new(response: Response<Bytes>, request_id: RequestId, has_ticket: bool) -> Self {
         let status = response.status().as_u16();
         let header = response.headers().get("x-limpet-ticket");
         let ticket = header.and_then(|value| value.to_str().ok()).map(Into::into);
         let body: Value = serde_json::from_slice(response.body()).unwrap_or_else(|_| {
             Value::String(String::from_utf8_lossy(response.body()).into_owned())
         });
-        let content = read_content(response.status().is_success(), &body, request_id);
+        let header_id = response.headers().get("x-limpet-request-id");
+        let header_id = header_id.and_then(|value| value.to_str().ok());
+        let recorded_id = header_id.filter(|_| has_ticket);
+        let success = response.status().is_success();
+        let content = read_content(success, &body, request_id, recorded_id);
         Self {
             status,
             ticket,
@@ -106,9 +125,9 @@
     }
 
     /// Returns how the command ended.
-    pub(crate) const fn exit(&self) -> Exit {
+    pub(crate) fn exit(&self) -> Exit {
         match &self.content {
-            Content::Answer(answer) if answer.complete => Exit::Success,
+            Content::Answer(answer) if answer.is_decided() => Exit::Success,
             Content::Answer(_) => Exit::Partial,
             Content::Refusal(refusal) if refusal.not_run => Exit::RefusedNotRun,
             Content::Refusal(_) => Exit::RefusedMaybeRun,
@@ -178,7 +197,12 @@
     }
 }
 
-fn read_content(success: bool, body: &Value, request_id: RequestId) -> Content {
+fn read_content(
+    success: bool,
+    body: &Value,
+    request_id: RequestId,
+    recorded_id: Option<&str>,
+) -> Content {
     let expected = format!("{request_id:032x}");
     let unreadable = |error: serde_json::Error| Content::Unreadable(error.to_string().into());
     let (content, id) = if success {
@@ -198,7 +222,7 @@
             Err(error) => return unreadable(error),
         }
     };
-    match id {
+    match recorded_id.map(Into::into).or(id) {
         Some(id) if *id != *expected => {
             Content::Unreadable(format!("response to request {id}, sent was {expected}").into())
         }
@@ -215,9 +239,10 @@
         line(text, &format!("{indent}found: {found}"));
     }
     for result in &answer.results {
-        let body = match &result.body {
-            Value::String(body) => body.clone(),
-            body => body.to_string(),
+        let body = match (&result.body, &result.body_base64) {
+            (_, Some(base64)) => format!("base64 {base64}"),
+            (Value::String(body), None) => body.clone(),
+            (body, None) => body.to_string(),
         };
         line(text, &format!("{indent}{}: {body}", result.shard));
     }
