--- /dev/null
+++ b/crates/limpet-adapters/src/target/mod.rs
@@ -0,0 +1,1 @@
+//! Adapter to targets.
--- a/crates/limpet-config/src/model/config.rs
+++ b/crates/limpet-config/src/model/config.rs
@@ -1,6 +1,7 @@
 //! The whole compiled text.
 
 use limpet_types::TargetAddr;
+use subtle::ConstantTimeEq;
 
 use crate::model::{
     Fleet,
@@ -57,6 +58,22 @@
         self.teams.iter().find(|team| &*team.name == name)
     }
 
+    /// Returns the team that an API key belongs to.
+    ///
+    /// Every digest is compared in full, so the time tells nothing about the digests.
+    pub fn team_by_key(&self, key: &[u8]) -> Option<&Team> {
+        let digest = blake3::hash(key);
+        let mut found = None;
+        for team in &self.teams {
+            for known in &team.key_digests {
+                if bool::from(known.ct_eq(digest.as_bytes())) {
+                    found = Some(team);
+                }
+            }
+        }
+        found
+    }
+
     /// Returns whether a zone is out; a zone that the text does not name is.
     pub fn zone_is_out(&self, name: &str) -> bool {
         self.zones
--- a/crates/limpet-decide/src/fair/mod.rs
+++ b/crates/limpet-decide/src/fair/mod.rs
@@ -1,1 +1,11 @@
-//! Admission and fair queueing by team.
+//! Fair admission of queries by team.
+
+mod queue;
+
+pub use queue::{
+    Admission,
+    FairQueue,
+    Limits,
+    QueryId,
+    Released, //
+};
--- /dev/null
+++ b/crates/limpet-decide/src/replica/select.rs
@@ -0,0 +1,125 @@
+//! Selection among the replicas of one shard.
+
+use std::time::Duration;
+
+use limpet_types::{
+    IndexVersion,
+    RefusalCode,
+    TargetAddr, //
+};
+
+use crate::replica::Views;
+
+/// Share of attempts that go to a cold target although a warm one exists, so that it can warm up.
+pub const COLD_PROBE_SHARE: f64 = 1.0 / 20.0;
+/// Latency assumed for a target without samples.
+const LATENCY_DEFAULT_S: f64 = 0.001;
+/// Weight of one recent failure relative to one attempt in flight.
+const FAILURE_WEIGHT: f64 = 4.0;
+
+/// One replica that may be selected.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Target.
+    pub addr: TargetAddr,
+    /// Why it may not be used: zone out, leaving, no owner, or already tried.
+    pub unusable: Option<RefusalCode>,
+}
+
+/// Why a replica was selected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// It has the lowest expected wait.
+    LowestWait,
+    /// It is cold and gets its share of attempts.
+    ColdProbe,
+    /// Every usable replica is cold.
+    OnlyCold,
+}
+
+impl Reason {
+    /// Returns the name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::LowestWait => "lowest_wait",
+            Self::ColdProbe => "cold_probe",
+            Self::OnlyCold => "only_cold",
+        }
+    }
+}
+
+/// A selected replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// Position among the candidates.
+    pub index: usize,
+    /// Why it was selected.
+    pub reason: Reason,
+}
+
+/// Selects a replica.
+///
+/// `draw` is a uniform number in `0..1`; it decides on cold probes and between equal replicas.
+///
+/// # Errors
+///
+/// Returns the reason of the last unusable candidate if none is usable.
+pub fn select(
+    views: &Views,
+    candidates: &[Candidate],
+    pinned: Option<IndexVersion>,
+    now: Duration,
+    draw: f64,
+) -> Result<Choice, RefusalCode> {
+    let mut best: [Option<(f64, usize)>; 2] = [None, None];
+    let mut refusal = RefusalCode::NoTarget;
+    let count = candidates.len();
+    let first = (draw * 1000.0 * count as f64) as usize;
+    for step in 0..count {
+        let index = (first + step) % count;
+        let candidate = &candidates[index];
+        if let Some(code) = candidate.unusable {
+            refusal = code;
+            continue;
+        }
+        let (score, cold) = match views.get(candidate.addr) {
+            None => (LATENCY_DEFAULT_S, false),
+            Some(view) => {
+                if let Some(version) = pinned
+                    && !view.versions.is_empty()
+                    && !view.versions.contains(&version)
+                {
+                    refusal = RefusalCode::SnapshotUnavailable;
+                    continue;
+                }
+                let latency = if view.latency.is_zero() {
+                    LATENCY_DEFAULT_S
+                } else {
+                    view.latency.as_secs_f64()
+                };
+                let load = 1.0 + f64::from(view.in_flight);
+                let failures = FAILURE_WEIGHT * view.recent_failures(now);
+                (latency * (load + failures), view.cold)
+            }
+        };
+        let best = &mut best[usize::from(cold)];
+        if best.is_none_or(|(lowest, _)| score < lowest) {
+            *best = Some((score, index));
+        }
+    }
+    match best {
+        [_, Some((_, index))] if draw < COLD_PROBE_SHARE => Ok(Choice {
+            index,
+            reason: Reason::ColdProbe,
+        }),
+        [Some((_, index)), _] => Ok(Choice {
+            index,
+            reason: Reason::LowestWait,
+        }),
+        [None, Some((_, index))] => Ok(Choice {
+            index,
+            reason: Reason::OnlyCold,
+        }),
+        [None, None] => Err(refusal),
+    }
+}
--- /dev/null
+++ b/crates/limpet-decide/src/replica/view.rs
@@ -0,0 +1,88 @@
+//! What an entry has seen of each target.
+
+use std::{
+    collections::HashMap,
+    hash::BuildHasherDefault,
+    time::Duration, //
+};
+
+use limpet_types::{
+    IndexVersion,
+    TargetAddr, //
+};
+use xxhash_rust::xxh3::Xxh3Default;
+
+/// Weight of a new latency sample; about the last ten samples count.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// Failures lose half of their weight in this time.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// What an entry has seen of one target.
+#[derive(Clone, Debug, Default)]
+pub struct TargetView {
+    /// Attempts of this entry in flight.
+    pub in_flight: u32,
+    /// Smoothed latency; zero before the first sample.
+    pub latency: Duration,
+    /// Whether the last reply said that the target is cold.
+    pub cold: bool,
+    /// Index versions last reported.
+    pub versions: Vec<IndexVersion>,
+    failures: f64,
+    failed_at: Duration,
+}
+
+impl TargetView {
+    /// Notes the end of an attempt.
+    pub fn note_latency(&mut self, sample: Duration) {
+        self.latency = if self.latency.is_zero() {
+            sample
+        } else {
+            self.latency.mul_f64(1.0 - LATENCY_WEIGHT) + sample.mul_f64(LATENCY_WEIGHT)
+        };
+    }
+
+    /// Notes a failed attempt.
+    pub fn note_failure(&mut self, now: Duration) {
+        self.failures = self.recent_failures(now) + 1.0;
+        self.failed_at = now;
+    }
+
+    /// Returns the failures, each weighed by its age.
+    pub fn recent_failures(&self, now: Duration) -> f64 {
+        if self.failures == 0.0 {
+            return 0.0;
+        }
+        let age = now.saturating_sub(self.failed_at).as_secs_f64();
+        self.failures * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
+    }
+}
+
+/// Views of every target seen.
+#[derive(Debug, Default)]
+pub struct Views {
+    targets: HashMap<TargetAddr, TargetView, BuildHasherDefault<Xxh3Default>>,
+}
+
+impl Views {
+    /// Creates an empty set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the view of a target, if there is one.
+    pub fn get(&self, target: TargetAddr) -> Option<&TargetView> {
+        self.targets.get(&target)
+    }
+
+    /// Returns the view of a target for a change.
+    pub fn get_mut(&mut self, target: TargetAddr) -> &mut TargetView {
+        self.targets.entry(target).or_default()
+    }
+
+    /// Forgets targets that left the text; those with attempts in flight stay.
+    pub fn retain(&mut self, keep: impl Fn(TargetAddr) -> bool) {
+        self.targets
+            .retain(|addr, view| view.in_flight > 0 || keep(*addr));
+    }
+}
--- /dev/null
+++ b/crates/limpet-decide/src/ticket/table.rs
@@ -0,0 +1,225 @@
+//! Tickets of one entry incarnation and what became of them.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use limpet_types::{
+    TeamName,
+    message::OrderOutcome, //
+};
+
+/// Bounds of the memory for tickets.
+#[derive(Clone, Copy, Debug)]
+pub struct TicketLimits {
+    /// Tickets remembered.
+    pub tickets_max: usize,
+    /// Sum of the recorded outcomes.
+    pub outcomes_size_max_bytes: usize,
+    /// Time after which a ticket is forgotten.
+    pub age_max: Duration,
+}
+
+impl Default for TicketLimits {
+    fn default() -> Self {
+        Self {
+            tickets_max: 50_000,
+            outcomes_size_max_bytes: 16 << 20,
+            age_max: Duration::from_secs(600),
+        }
+    }
+}
+
+#[derive(Debug)]
+enum State {
+    Issued,
+    Running,
+    Done(OrderOutcome),
+}
+
+#[derive(Debug)]
+struct Ticket {
+    team: TeamName,
+    issued_at: Duration,
+    /// Hash of the order that used the ticket.
+    order_hash: Option<u64>,
+    state: State,
+}
+
+/// What a caller with a ticket gets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Begin {
+    /// Run the order; [`TicketTable::finish`] must follow.
+    Run,
+    /// The order runs already: wait for its outcome.
+    InProgress,
+    /// The order ran: this is its outcome.
+    Recorded(OrderOutcome),
+    /// The ticket was never issued, is of another team, or was used for another order: not run now.
+    Invalid,
+    /// The ticket is forgotten and the order may have run: never run it now.
+    Forgotten,
+}
+
+/// Outcome that is looked up while another caller runs the order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// Not known yet.
+    Pending,
+    /// Recorded.
+    Known(OrderOutcome),
+    /// Forgotten.
+    Forgotten,
+}
+
+/// Tickets of one entry incarnation.
+///
+/// A forgotten ticket (evicted or expired) is never run again, because nothing tells an unused one
+/// from one whose order ran: its refusal is `outcome_unknown`.
+#[derive(Debug)]
+pub struct TicketTable {
+    limits: TicketLimits,
+    next_sequence: u64,
+    outcomes_size_bytes: usize,
+    tickets: BTreeMap<u64, Ticket>,
+}
+
+impl TicketTable {
+    /// Creates the table of a new incarnation.
+    pub const fn new(limits: TicketLimits) -> Self {
+        Self {
+            limits,
+            next_sequence: 0,
+            outcomes_size_bytes: 0,
+            tickets: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the number of tickets remembered.
+    pub fn len(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Returns whether no ticket is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.tickets.is_empty()
+    }
+
+    /// Issues a ticket; `None` if the memory is full of running orders.
+    pub fn issue(&mut self, team: &str, now: Duration) -> Option<u64> {
+        self.expire(now);
+        while self.tickets.len() >= self.limits.tickets_max {
+            if !self.evict_oldest() {
+                return None;
+            }
+        }
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let ticket = Ticket {
+            team: team.into(),
+            issued_at: now,
+            order_hash: None,
+            state: State::Issued,
+        };
+        self.tickets.insert(sequence, ticket);
+        Some(sequence)
+    }
+
+    /// Claims a ticket for an order.
+    pub fn begin(&mut self, sequence: u64, team: &str, order_hash: u64, now: Duration) -> Begin {
+        self.expire(now);
+        if sequence >= self.next_sequence {
+            return Begin::Invalid;
+        }
+        let Some(ticket) = self.tickets.get_mut(&sequence) else {
+            return Begin::Forgotten;
+        };
+        if &*ticket.team != team || ticket.order_hash.is_some_and(|hash| hash != order_hash) {
+            return Begin::Invalid;
+        }
+        match &ticket.state {
+            State::Issued => {
+                ticket.order_hash = Some(order_hash);
+                ticket.state = State::Running;
+                Begin::Run
+            }
+            State::Running => Begin::InProgress,
+            State::Done(outcome) => Begin::Recorded(outcome.clone()),
+        }
+    }
+
+    /// Records the outcome of a running order.
+    ///
+    /// An order that certainly did not run gives the ticket back, so that the caller can use it again.
+    pub fn finish(&mut self, sequence: u64, outcome: OrderOutcome) {
+        let Some(ticket) = self.tickets.get_mut(&sequence) else {
+            return;
+        };
+        if !matches!(ticket.state, State::Running) {
+            return;
+        }
+        if matches!(&outcome, Err(refusal) if refusal.not_run) {
+            ticket.state = State::Issued;
+            return;
+        }
+        self.outcomes_size_bytes += size_bytes(&outcome);
+        ticket.state = State::Done(outcome);
+        while self.outcomes_size_bytes > self.limits.outcomes_size_max_bytes {
+            if !self.evict_oldest() {
+                break;
+            }
+        }
+    }
+
+    /// Returns the outcome of an order that another caller runs.
+    pub fn outcome(&self, sequence: u64) -> Outcome {
+        match self.tickets.get(&sequence).map(|ticket| &ticket.state) {
+            None => Outcome::Forgotten,
+            Some(State::Done(outcome)) => Outcome::Known(outcome.clone()),
+            Some(State::Issued | State::Running) => Outcome::Pending,
+        }
+    }
+
+    /// Returns whether the order of a ticket runs.
+    pub fn is_running(&self, sequence: u64) -> bool {
+        let ticket = self.tickets.get(&sequence);
+        ticket.is_some_and(|ticket| matches!(ticket.state, State::Running))
+    }
+
+    fn expire(&mut self, now: Duration) {
+        while let Some(first) = self.tickets.first_entry() {
+            let age = now.saturating_sub(first.get().issued_at);
+            if age <= self.limits.age_max || matches!(first.get().state, State::Running) {
+                break;
+            }
+            let ticket = first.remove();
+            self.forget(&ticket);
+        }
+    }
+
+    fn evict_oldest(&mut self) -> bool {
+        let mut tickets = self.tickets.iter();
+        let oldest = tickets.find(|(_, ticket)| !matches!(ticket.state, State::Running));
+        let Some(sequence) = oldest.map(|(sequence, _)| *sequence) else {
+            return false;
+        };
+        if let Some(ticket) = self.tickets.remove(&sequence) {
+            self.forget(&ticket);
+        }
+        true
+    }
+
+    fn forget(&mut self, ticket: &Ticket) {
+        if let State::Done(outcome) = &ticket.state {
+            self.outcomes_size_bytes -= size_bytes(outcome);
+        }
+    }
+}
+
+fn size_bytes(outcome: &OrderOutcome) -> usize {
+    match outcome {
+        Ok(body) => body.len(),
+        Err(refusal) => refusal.message.len(),
+    }
+}
--- /dev/null
+++ b/crates/limpet-decide/src/ticket/ticket_id.rs
@@ -0,0 +1,84 @@
+//! Text form of a ticket.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    str::FromStr, //
+};
+
+use limpet_types::{
+    NodeId,
+    TeamName, //
+};
+
+/// Longest text that is read as a ticket.
+const TEXT_SIZE_MAX_BYTES: usize = 512;
+
+/// Names the entry incarnation that issued the ticket, a sequence number there, and the team.
+///
+/// # Examples
+///
+/// ```
+/// use limpet_decide::ticket::TicketId;
+/// use limpet_types::NodeId;
+///
+/// let ticket = TicketId::new(NodeId::new("10.0.0.1:7101".parse().unwrap(), 7), 3, "cork".into());
+/// assert_eq!(ticket.to_string().parse(), Ok(ticket));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TicketId {
+    /// Entry that issued it.
+    pub issuer: NodeId,
+    /// Number within the issuer's incarnation.
+    pub sequence: u64,
+    /// Team that it was issued to.
+    pub team: TeamName,
+}
+
+/// The text is not a ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a ticket: expected ADDRESS/INCARNATION/SEQUENCE/TEAM")]
+pub struct TicketError;
+
+impl TicketId {
+    /// Creates a ticket.
+    pub const fn new(issuer: NodeId, sequence: u64, team: TeamName) -> Self {
+        Self {
+            issuer,
+            sequence,
+            team,
+        }
+    }
+}
+
+impl fmt::Display for TicketId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let NodeId { addr, incarnation } = self.issuer;
+        let (sequence, team) = (self.sequence, &self.team);
+        write!(f, "{addr}/{incarnation:016x}/{sequence:x}/{team}")
+    }
+}
+
+impl FromStr for TicketId {
+    type Err = TicketError;
+
+    fn from_str(text: &str) -> Result<Self, TicketError> {
+        if text.len() > TEXT_SIZE_MAX_BYTES {
+            return Err(TicketError);
+        }
+        let mut parts = text.splitn(4, '/');
+        let mut part = || parts.next().ok_or(TicketError);
+        let addr: SocketAddr = part()?.parse().map_err(|_| TicketError)?;
+        let incarnation = u64::from_str_radix(part()?, 16).map_err(|_| TicketError)?;
+        let sequence = u64::from_str_radix(part()?, 16).map_err(|_| TicketError)?;
+        let team = part()?;
+        if team.is_empty() {
+            return Err(TicketError);
+        }
+        Ok(Self::new(
+            NodeId::new(addr, incarnation),
+            sequence,
+            team.into(),
+        ))
+    }
+}
--- /dev/null
+++ b/crates/limpet-fakes/src/target/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-in for a target.
--- a/crates/limpetshuntd/src/blackboard/directory.rs
+++ b/crates/limpetshuntd/src/blackboard/directory.rs
@@ -14,6 +14,12 @@
 }
 
 impl Directory {
+    /// Adds an owner.
+    pub fn with_owner(mut self, target: TargetAddr, owner: NodeId) -> Self {
+        self.owners.insert(target, owner);
+        self
+    }
+
     /// Returns the owner of a target, if one is known.
     pub fn owner_of(&self, target: TargetAddr) -> Option<NodeId> {
         self.owners.get(&target).copied()
--- a/crates/limpetshuntd/src/blackboard/members.rs
+++ b/crates/limpetshuntd/src/blackboard/members.rs
@@ -23,6 +23,12 @@
 }
 
 impl Members {
+    /// Adds a node.
+    pub fn with_member(mut self, member: Member) -> Self {
+        self.nodes.push(member);
+        self
+    }
+
     /// Iterates over the nodes of a role, this process included.
     pub fn of_role(&self, role: Role) -> impl Iterator<Item = &Member> {
         self.nodes.iter().filter(move |m| m.record.role == role)
--- a/crates/limpetshuntd/src/daemon.rs
+++ b/crates/limpetshuntd/src/daemon.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::{
+        Arc,
+        OnceLock, //
+    },
 };
 
 use limpet_peer::PeerClient;
@@ -61,7 +64,10 @@
 
 /// State that a module keeps between requests; each module sets its own in `start`.
 #[derive(Debug, Default)]
-pub struct Services {}
+pub struct Services {
+    /// Side that faces callers; set on an entry.
+    pub entry: OnceLock<Arc<entry::Entry>>,
+}
 
 /// Runs a process until `shutdown` is ready, then drains it.
 ///
