Serve callers: admission, fan-out, hedges, retries, coverage and orders

Cause: the system starts only with an entry that answers callers. Each refusal derives not_run from a count of attempts that left and were not certainly refused. Ruled out: running an order in the caller's own future: a caller that goes away would lose an outcome that its repeat must get. Conclusion: thin path in place.

--- a/crates/limpet-decide/src/ticket/table.rs
+++ b/crates/limpet-decide/src/ticket/table.rs
@@ -6,6 +6,7 @@
 };
 
 use limpet_types::{
+    Refusal,
     TeamName,
     message::OrderOutcome, //
 };
@@ -33,7 +34,8 @@
 
 #[derive(Debug)]
 enum State {
-    Issued,
+    /// Unused, or used by an order that certainly did not run.
+    Issued(Option<Refusal>),
     Running,
     Done(OrderOutcome),
 }
@@ -69,6 +71,8 @@
     Pending,
     /// Recorded.
     Known(OrderOutcome),
+    /// The order did not run and its ticket can be used again.
+    NotRun(Refusal),
     /// Forgotten.
     Forgotten,
 }
@@ -120,7 +124,7 @@
             team: team.into(),
             issued_at: now,
             order_hash: None,
-            state: State::Issued,
+            state: State::Issued(None),
         };
         self.tickets.insert(sequence, ticket);
         Some(sequence)
@@ -139,7 +143,7 @@
             return Begin::Invalid;
         }
         match &ticket.state {
-            State::Issued => {
+            State::Issued(_) => {
                 ticket.order_hash = Some(order_hash);
                 ticket.state = State::Running;
                 Begin::Run
@@ -159,8 +163,10 @@
         if !matches!(ticket.state, State::Running) {
             return;
         }
-        if matches!(&outcome, Err(refusal) if refusal.not_run) {
-            ticket.state = State::Issued;
+        if let Err(refusal) = &outcome
+            && refusal.not_run
+        {
+            ticket.state = State::Issued(Some(refusal.clone()));
             return;
         }
         self.outcomes_size_bytes += size_bytes(&outcome);
@@ -177,16 +183,11 @@
         match self.tickets.get(&sequence).map(|ticket| &ticket.state) {
             None => Outcome::Forgotten,
             Some(State::Done(outcome)) => Outcome::Known(outcome.clone()),
-            Some(State::Issued | State::Running) => Outcome::Pending,
+            Some(State::Issued(Some(refusal))) => Outcome::NotRun(refusal.clone()),
+            Some(State::Issued(None) | State::Running) => Outcome::Pending,
         }
     }
 
-    /// Returns whether the order of a ticket runs.
-    pub fn is_running(&self, sequence: u64) -> bool {
-        let ticket = self.tickets.get(&sequence);
-        ticket.is_some_and(|ticket| matches!(ticket.state, State::Running))
-    }
-
     fn expire(&mut self, now: Duration) {
         while let Some(first) = self.tickets.first_entry() {
             let age = now.saturating_sub(first.get().issued_at);
--- /dev/null
+++ b/crates/limpetshuntd/src/entry/call.rs
@@ -0,0 +1,103 @@
+//! One admitted caller request.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use limpet_types::{
+    KeyRange,
+    Refusal,
+    RequestId,
+    TeamName, //
+};
+
+use crate::{
+    blackboard::InForce,
+    entry::limits::RESPONSE_MARGIN, //
+};
+
+/// One admitted caller request; its dependencies share it.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) request_id: RequestId,
+    pub(super) team: TeamName,
+    /// Boot time at which the caller stops waiting.
+    pub(super) deadline: Duration,
+    pub(super) is_partial_allowed: bool,
+    pub(super) record: Option<Box<str>>,
+    pub(super) body: Bytes,
+    /// The configuration that the request is planned with to its end.
+    pub(super) in_force: Arc<InForce>,
+    attempts: AtomicU32,
+    maybe_run: AtomicU32,
+}
+
+impl Call {
+    pub(super) fn new(
+        request_id: RequestId,
+        team: TeamName,
+        deadline: Duration,
+        body: Bytes,
+        in_force: Arc<InForce>,
+    ) -> Self {
+        Self {
+            request_id,
+            team,
+            deadline,
+            is_partial_allowed: false,
+            record: None,
+            body,
+            in_force,
+            attempts: AtomicU32::new(0),
+            maybe_run: AtomicU32::new(0),
+        }
+    }
+
+    /// Returns the boot time until which answers are accepted.
+    pub(super) fn answers_until(&self) -> Duration {
+        self.deadline.saturating_sub(RESPONSE_MARGIN)
+    }
+
+    /// Returns the number of the next attempt; never used twice in a request.
+    pub(super) fn next_attempt(&self) -> u32 {
+        self.attempts.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Notes that an attempt is about to leave and may run from now on.
+    pub(super) fn note_sent(&self) {
+        self.maybe_run.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Notes that an attempt certainly did not run.
+    pub(super) fn note_not_run(&self) {
+        self.maybe_run.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// Returns whether no attempt of the request ran or may still run.
+    pub(super) fn is_not_run(&self) -> bool {
+        self.maybe_run.load(Ordering::Acquire) == 0
+    }
+
+    /// Returns a refusal of the whole request with a true `not_run`.
+    pub(super) fn refuse(&self, refusal: Refusal) -> Refusal {
+        Refusal {
+            not_run: self.is_not_run(),
+            ..refusal
+        }
+    }
+
+    /// Returns the hashed record key, if the caller sent one.
+    pub(super) fn record_key(&self) -> Option<u64> {
+        self.record
+            .as_ref()
+            .map(|record| KeyRange::key_of(record.as_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/limpetshuntd/src/entry/caller.rs
@@ -0,0 +1,247 @@
+//! One caller request from its headers to its response.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    HeaderValue,
+    Method,
+    Request,
+    header, //
+};
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
+use hyper::body::{
+    Body,
+    Incoming, //
+};
+use limpet_config::Lookup;
+use limpet_types::{
+    Phase,
+    Refusal,
+    RefusalCode,
+    RequestId,
+    message::AttemptKind, //
+};
+
+use crate::entry::{
+    call::Call,
+    graph,
+    limits::{
+        BODY_SIZE_MAX_BYTES,
+        DEADLINE_DEFAULT,
+        DEADLINE_MAX, //
+    },
+    respond::{
+        self,
+        CallerResponse, //
+    },
+    state::Entry,
+};
+
+const PATH_PREFIX: &str = "/v1/lookups/";
+
+/// A refusal with the ticket that may go with it.
+pub(super) struct CallerRefusal {
+    pub(super) refusal: Refusal,
+    pub(super) ticket: Option<Box<str>>,
+}
+
+impl From<Refusal> for CallerRefusal {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            ticket: None,
+        }
+    }
+}
+
+fn bad_request(message: impl Into<Box<str>>) -> Refusal {
+    Refusal::not_run(RefusalCode::BadRequest, message)
+}
+
+fn text<'h>(headers: &'h HeaderMap, name: &str) -> Result<Option<&'h str>, Refusal> {
+    headers
+        .get(name)
+        .map(|value| value.to_str())
+        .transpose()
+        .map_err(|_| bad_request(format!("{name} is not plain text")))
+}
+
+fn request_id(headers: &HeaderMap) -> Result<RequestId, Refusal> {
+    match text(headers, "x-limpet-request-id")? {
+        None => Ok(rand::random()),
+        Some(digits) if digits.len() == 32 => RequestId::from_str_radix(digits, 16)
+            .map_err(|_| bad_request("x-limpet-request-id must be 32 hex digits")),
+        Some(_) => Err(bad_request("x-limpet-request-id must be 32 hex digits")),
+    }
+}
+
+fn time_limit(headers: &HeaderMap) -> Result<Duration, Refusal> {
+    let Some(digits) = text(headers, "x-limpet-deadline-ms")? else {
+        return Ok(DEADLINE_DEFAULT);
+    };
+    let limit = digits
+        .parse()
+        .map(Duration::from_millis)
+        .map_err(|_| bad_request("x-limpet-deadline-ms must be a number of milliseconds"))?;
+    Ok(limit.min(DEADLINE_MAX))
+}
+
+fn api_key(headers: &HeaderMap) -> Option<&[u8]> {
+    let value = headers.get(header::AUTHORIZATION)?.as_bytes();
+    let (scheme, key) = value.split_at_checked(7)?;
+    scheme.eq_ignore_ascii_case(b"bearer ").then_some(key)
+}
+
+async fn read_body(body: Incoming, time_left: Duration) -> Result<Bytes, Refusal> {
+    let too_large = || bad_request(format!("the body is over {BODY_SIZE_MAX_BYTES} bytes"));
+    if body.size_hint().lower() > BODY_SIZE_MAX_BYTES as u64 {
+        return Err(too_large());
+    }
+    let collect = Limited::new(body, BODY_SIZE_MAX_BYTES).collect();
+    match tokio::time::timeout(time_left, collect).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => Err(bad_request(format!("the body cannot be read: {error}"))),
+        Err(_) => Err(Refusal::not_run(
+            RefusalCode::DeadlineExceeded,
+            "the body did not arrive before the deadline",
+        )),
+    }
+}
+
+impl Entry {
+    /// Answers one caller request.
+    pub(super) async fn handle(self: Arc<Self>, request: Request<Incoming>) -> CallerResponse {
+        // Counted before the phase is read, so that a drain cannot miss it.
+        let _in_flight = self.enter();
+        let started = std::time::Instant::now();
+        let (request_id, result) = match request_id(request.headers()) {
+            Ok(id) => (id, self.serve_request(id, request).await),
+            Err(refusal) => (rand::random(), Err(refusal.into())),
+        };
+        let mut response = match result {
+            Ok(response) => response,
+            Err(CallerRefusal { refusal, ticket }) => {
+                metrics::counter!("limpet_entry_refusals", "code" => refusal.code.as_str())
+                    .increment(1);
+                tracing::info!(
+                    request_id = %format_args!("{request_id:032x}"),
+                    code = refusal.code.as_str(),
+                    not_run = refusal.not_run,
+                    message = %refusal.message,
+                    "refused"
+                );
+                respond::refused(request_id, &refusal, ticket.as_deref())
+            }
+        };
+        metrics::histogram!("limpet_entry_request_seconds").record(started.elapsed());
+        if self.board.phase() == Phase::Draining {
+            let headers = response.headers_mut();
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn serve_request(
+        self: &Arc<Self>,
+        request_id: RequestId,
+        request: Request<Incoming>,
+    ) -> Result<CallerResponse, CallerRefusal> {
+        let arrived_at = self.board.now();
+        let (head, body) = request.into_parts();
+        let Some(name) = head.uri.path().strip_prefix(PATH_PREFIX) else {
+            let message = "the path must be /v1/lookups/LOOKUP";
+            return Err(Refusal::not_run(RefusalCode::UnknownLookup, message).into());
+        };
+        if head.method != Method::POST {
+            return Err(bad_request("the method must be POST").into());
+        }
+        let in_force = self.check_serving()?;
+        let lookup = find_lookup(&in_force.config, name)?;
+        let key = api_key(&head.headers);
+        let caller = self.authorize(&in_force.config, lookup, key)?;
+        let deadline = arrived_at + time_limit(&head.headers)?;
+        let is_partial_allowed = match text(&head.headers, "x-limpet-allow-partial")? {
+            None | Some("false") => false,
+            Some("true") => true,
+            Some(_) => {
+                return Err(bad_request("x-limpet-allow-partial must be true or false").into());
+            }
+        };
+        let record: Option<Box<str>> = text(&head.headers, "x-limpet-record")?.map(Into::into);
+        let needs_record = matches!(lookup.kind, AttemptKind::Record | AttemptKind::Order);
+        if needs_record && record.is_none() {
+            return Err(bad_request("x-limpet-record is required for this lookup").into());
+        }
+        let ticket = text(&head.headers, respond::TICKET_HEADER)?;
+        let time_left = deadline.saturating_sub(self.board.now());
+        let body = read_body(body, time_left).await?;
+        if caller.is_metered {
+            self.take_token(&caller.team, deadline).await?;
+        }
+        if lookup.kind == AttemptKind::Order && ticket.is_none() {
+            return Err(self.issue_ticket(&caller.team));
+        }
+        let place = self
+            .places
+            .enter(&caller.team, caller.weight, deadline)
+            .await?;
+        // Everything may have changed while the request queued: the API key may be revoked.
+        let in_force = self.check_serving_admitted()?;
+        let lookup = find_lookup(&in_force.config, name)?;
+        let again = self.authorize(&in_force.config, lookup, key)?;
+        if again.team != caller.team {
+            let message = "the API key moved to another team";
+            return Err(Refusal::not_run(RefusalCode::Unauthorized, message).into());
+        }
+        let mut call = Call::new(
+            request_id,
+            caller.team,
+            deadline,
+            body,
+            Arc::clone(&in_force),
+        );
+        call.is_partial_allowed = is_partial_allowed;
+        call.record = record;
+        let response = match (lookup.kind, ticket) {
+            (AttemptKind::Order, Some(ticket)) => {
+                let outcome = self.order(call, lookup, ticket).await?;
+                respond::raw(request_id, &outcome)
+            }
+            _ => {
+                let results = graph::run(self, &call, lookup).await?;
+                respond::answered(request_id, &in_force.config, lookup, &results)
+            }
+        };
+        drop(place);
+        Ok(response)
+    }
+
+    /// Like [`Entry::check_serving`], for a request that was admitted before a drain began.
+    fn check_serving_admitted(&self) -> Result<Arc<crate::blackboard::InForce>, Refusal> {
+        match self.board.in_force() {
+            Some(in_force) if self.board.phase() == Phase::Draining => Ok(in_force),
+            _ => self.check_serving(),
+        }
+    }
+}
+
+pub(super) fn find_lookup<'c>(
+    config: &'c limpet_config::Config,
+    name: &str,
+) -> Result<&'c Lookup, Refusal> {
+    config.lookup(name).ok_or_else(|| {
+        Refusal::not_run(
+            RefusalCode::UnknownLookup,
+            format!("there is no lookup {name:?}"),
+        )
+    })
+}
--- a/crates/limpetshuntd/src/entry/mod.rs
+++ b/crates/limpetshuntd/src/entry/mod.rs
@@ -1,9 +1,26 @@
 //! The side that faces callers.
 
+mod admission;
+mod attempt;
+mod call;
+mod caller;
+mod graph;
+mod limits;
+mod orders;
+mod places;
+mod query;
+mod respond;
+mod server;
+mod shard_run;
+mod state;
+
+use std::sync::Arc;
+
 use limpet_types::message::{
     ForwardOrderReply,
     ForwardOrderRequest, //
 };
+use tokio::net::TcpListener;
 
 use crate::{
     controllers::Controllers,
@@ -11,24 +28,48 @@
         Context,
         StartError, //
     },
+    settings::RoleSettings,
 };
 
-/// Starts the controllers of this module and the server for callers.
+pub use limits::EntryLimits;
+pub use state::Entry;
+
+/// Starts the server for callers.
 ///
 /// # Errors
 ///
-/// Fails when a controller cannot start or the address cannot be bound.
-pub async fn start(_context: &Context, _controllers: &mut Controllers) -> Result<(), StartError> {
+/// Fails when the address cannot be bound.
+pub async fn start(context: &Context, _controllers: &mut Controllers) -> Result<(), StartError> {
+    let RoleSettings::Entry(settings) = &context.settings.role else {
+        return Ok(());
+    };
+    let addr = settings.caller_addr;
+    let listener = TcpListener::bind(addr)
+        .await
+        .map_err(|source| StartError::Bind { addr, source })?;
+    let entry = Entry::new(
+        Arc::clone(&context.board),
+        context.peers.clone(),
+        EntryLimits::default(),
+    );
+    entry.serve(listener);
+    // `start` runs once for each process, so the cell is still empty.
+    let _ = context.services.entry.set(entry);
     Ok(())
 }
 
 /// Runs an order under a ticket of this entry; `None` on a relay.
 pub async fn handle_forward_order(
-    _context: &Context,
-    _request: ForwardOrderRequest,
+    context: &Context,
+    request: ForwardOrderRequest,
 ) -> Option<ForwardOrderReply> {
-    None
+    let entry = context.services.entry.get()?;
+    Some(Arc::clone(entry).run_forwarded_order(request).await)
 }
 
 /// Waits until no caller request is in flight; called when the process drains.
-pub async fn drain(_context: &Context) {}
+pub async fn drain(context: &Context) {
+    if let Some(entry) = context.services.entry.get() {
+        entry.drain().await;
+    }
+}
--- /dev/null
+++ b/crates/limpetshuntd/src/entry/orders.rs
@@ -0,0 +1,228 @@
+//! Orders: tickets, the one run of each, and forwarding to the issuer.
+
+use std::sync::Arc;
+
+use limpet_config::Lookup;
+use limpet_decide::ticket::{
+    Begin,
+    Outcome,
+    TicketId, //
+};
+use limpet_types::{
+    Refusal, RefusalCode, Role,
+    hash::stable_hash_parts,
+    message::{
+        AttemptKind,
+        ForwardOrderReply,
+        ForwardOrderRequest,
+        OrderOutcome,
+        PeerReply,
+        PeerRequest, //
+    },
+};
+
+use crate::entry::{
+    call::Call,
+    caller::{
+        CallerRefusal,
+        find_lookup, //
+    },
+    graph, respond,
+    state::{
+        Entry,
+        lock, //
+    },
+};
+
+fn unknown(message: impl Into<Box<str>>) -> Refusal {
+    Refusal::maybe_run(RefusalCode::OutcomeUnknown, message)
+}
+
+impl Entry {
+    /// Issues a ticket to a caller that sent an order without one.
+    pub(super) fn issue_ticket(&self, team: &str) -> CallerRefusal {
+        let Some(sequence) = self.tickets().issue(team, self.board.now()) else {
+            let message = "every ticket in memory belongs to a running order";
+            return Refusal::not_run(RefusalCode::Overloaded, message).into();
+        };
+        let ticket = TicketId::new(self.board.node, sequence, team.into());
+        CallerRefusal {
+            refusal: Refusal::not_run(
+                RefusalCode::TicketRequired,
+                "send the order again with this ticket",
+            ),
+            ticket: Some(ticket.to_string().into()),
+        }
+    }
+
+    /// Runs an order under its ticket here, or at the entry that issued the ticket.
+    pub(super) async fn order(
+        self: &Arc<Self>,
+        call: Call,
+        lookup: &Lookup,
+        ticket: &str,
+    ) -> OrderOutcome {
+        let invalid = |message: String| Refusal::not_run(RefusalCode::TicketInvalid, message);
+        let id: TicketId = ticket
+            .parse()
+            .map_err(|error| invalid(format!("{error}")))?;
+        if id.team != call.team {
+            return Err(invalid("the ticket belongs to another team".into()));
+        }
+        if id.issuer == self.board.node {
+            return self.run_ticket(call, lookup, id.sequence).await;
+        }
+        let members = self.board.members.load_full();
+        let is_known = members
+            .of_role(Role::Entry)
+            .any(|member| member.record.node == id.issuer);
+        if !is_known {
+            // Also keeps a forged ticket from making this process connect to any address.
+            return Err(unknown("the entry that issued the ticket is gone"));
+        }
+        let time_left = call.answers_until().saturating_sub(self.board.now());
+        let request = ForwardOrderRequest {
+            request_id: call.request_id,
+            team: call.team,
+            lookup: lookup.name.clone(),
+            ticket: ticket.into(),
+            key: call.record.unwrap_or_default(),
+            time_left,
+            body: call.body.to_vec(),
+        };
+        metrics::counter!("limpet_entry_orders_forwarded").increment(1);
+        tracing::info!(
+            request_id = %format_args!("{:032x}", request.request_id),
+            issuer = %id.issuer,
+            "order forwarded to the issuer of its ticket"
+        );
+        let request_id = request.request_id;
+        let request = PeerRequest::ForwardOrder(request);
+        match self.peers.call(id.issuer.addr, &request, time_left).await {
+            Ok(PeerReply::ForwardOrder(reply)) if reply.request_id == request_id => reply.outcome,
+            Ok(_) => Err(unknown(
+                "the issuer of the ticket replied with another message",
+            )),
+            // Even an order that was not sent now may have run under the same ticket before.
+            Err(error) => Err(unknown(format!(
+                "the issuer of the ticket is silent: {error}"
+            ))),
+        }
+    }
+
+    /// Runs an order that another entry forwarded.
+    pub(super) async fn run_forwarded_order(
+        self: Arc<Self>,
+        request: ForwardOrderRequest,
+    ) -> ForwardOrderReply {
+        let _in_flight = self.enter();
+        let request_id = request.request_id;
+        let outcome = self.run_forwarded(request).await;
+        ForwardOrderReply {
+            request_id,
+            outcome,
+        }
+    }
+
+    async fn run_forwarded(self: &Arc<Self>, request: ForwardOrderRequest) -> OrderOutcome {
+        let id: TicketId = request
+            .ticket
+            .parse()
+            .map_err(|error| Refusal::not_run(RefusalCode::TicketInvalid, format!("{error}")))?;
+        if id.issuer != self.board.node {
+            return Err(unknown("the entry that issued the ticket is gone"));
+        }
+        if id.team != request.team {
+            let message = "the ticket belongs to another team";
+            return Err(Refusal::not_run(RefusalCode::TicketInvalid, message));
+        }
+        let Some(in_force) = self.board.in_force() else {
+            let message = "no configuration is in force yet";
+            return Err(Refusal::not_run(RefusalCode::Starting, message));
+        };
+        let lookup = find_lookup(&in_force.config, &request.lookup)?;
+        if lookup.kind != AttemptKind::Order || !lookup.allows(&request.team) {
+            let message = "the team may not place orders with this lookup";
+            return Err(Refusal::not_run(RefusalCode::Forbidden, message));
+        }
+        let mut call = Call::new(
+            request.request_id,
+            request.team,
+            self.board.now() + request.time_left,
+            request.body.into(),
+            Arc::clone(&in_force),
+        );
+        call.record = Some(request.key);
+        self.run_ticket(call, lookup, id.sequence).await
+    }
+
+    async fn run_ticket(
+        self: &Arc<Self>,
+        call: Call,
+        lookup: &Lookup,
+        sequence: u64,
+    ) -> OrderOutcome {
+        let record = call.record.as_deref().unwrap_or_default();
+        let parts = [lookup.name.as_bytes(), record.as_bytes(), &call.body];
+        let order_hash = stable_hash_parts(&parts);
+        let now = self.board.now();
+        let begin = self.tickets().begin(sequence, &call.team, order_hash, now);
+        let answers_until = call.answers_until();
+        match begin {
+            Begin::Run => self.spawn_order(call, lookup.clone(), sequence),
+            Begin::InProgress => {}
+            Begin::Recorded(outcome) => return outcome,
+            Begin::Invalid => {
+                return Err(Refusal::not_run(
+                    RefusalCode::TicketInvalid,
+                    "the ticket was not issued for this order",
+                ));
+            }
+            Begin::Forgotten => return Err(unknown("the ticket is no longer remembered")),
+        }
+        let time_left = answers_until.saturating_sub(self.board.now());
+        tokio::time::timeout(time_left, self.outcome(sequence))
+            .await
+            .unwrap_or_else(|_| Err(unknown("the order runs and has no outcome yet")))
+    }
+
+    /// Runs the order in its own task: a caller that goes away must not lose the outcome.
+    fn spawn_order(self: &Arc<Self>, call: Call, lookup: Lookup, sequence: u64) {
+        let entry = Arc::clone(self);
+        let mut orders = lock(&self.orders);
+        while orders.try_join_next().is_some() {}
+        orders.spawn(async move {
+            let _in_flight = entry.enter();
+            let outcome = entry.run_order(&call, &lookup).await;
+            entry.tickets().finish(sequence, outcome);
+            entry.ticket_done.notify_waiters();
+        });
+    }
+
+    async fn run_order(&self, call: &Call, lookup: &Lookup) -> OrderOutcome {
+        let config = &call.in_force.config;
+        match graph::run(self, call, lookup).await {
+            Ok(results) => {
+                let document = respond::lookup_json(call.request_id, config, lookup, &results);
+                Ok(document.to_string().into_bytes())
+            }
+            Err(refusal) if refusal.not_run => Err(refusal),
+            Err(refusal) => Err(unknown(format!("the order may have run: {refusal}"))),
+        }
+    }
+
+    async fn outcome(&self, sequence: u64) -> OrderOutcome {
+        loop {
+            let done = self.ticket_done.notified();
+            tokio::pin!(done);
+            done.as_mut().enable();
+            let outcome = self.tickets().outcome(sequence);
+            match outcome {
+                Outcome::Known(outcome) => return outcome,
+                Outcome::Forgotten => return Err(unknown("the ticket is no longer remembered")),
+                Outcome::NotRun(refusal) => return Err(refusal),
+                Outcome::Pending => done.await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpetshuntd/src/entry/respond.rs
@@ -0,0 +1,165 @@
+//! JSON responses to callers.
+
+use base64::{
+    Engine,
+    engine::general_purpose::STANDARD, //
+};
+use bytes::Bytes;
+use http::{
+    HeaderValue,
+    Response,
+    StatusCode,
+    header, //
+};
+use http_body_util::Full;
+use limpet_config::{
+    Config,
+    Lookup, //
+};
+use limpet_types::{
+    Refusal,
+    RequestId,
+    message::AttemptKind, //
+};
+use serde_json::{
+    Map,
+    Value,
+    json, //
+};
+
+use crate::entry::{
+    graph::GraphResults,
+    query::QueryResult, //
+};
+
+/// Response to a caller.
+pub(super) type CallerResponse = Response<Full<Bytes>>;
+
+/// Name of the header with an order ticket.
+pub(super) const TICKET_HEADER: &str = "x-limpet-ticket";
+
+/// Writes a request id the way callers send it.
+pub(super) fn request_id_text(request_id: RequestId) -> String {
+    format!("{request_id:032x}")
+}
+
+fn json_response(status: u16, request_id: RequestId, body: &Value) -> CallerResponse {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    if let Ok(id) = HeaderValue::from_str(&request_id_text(request_id)) {
+        headers.insert("x-limpet-request-id", id);
+    }
+    response
+}
+
+/// Writes a refusal; `ticket` goes with `ticket_required`.
+pub(super) fn refused(
+    request_id: RequestId,
+    refusal: &Refusal,
+    ticket: Option<&str>,
+) -> CallerResponse {
+    let mut body = json!({
+        "code": refusal.code,
+        "not_run": refusal.not_run,
+        "message": refusal.message,
+        "request_id": request_id_text(request_id),
+    });
+    if let Some(ticket) = ticket {
+        body["ticket"] = ticket.into();
+    }
+    let mut response = json_response(refusal.code.http_status(), request_id, &body);
+    if let Some(Ok(ticket)) = ticket.map(HeaderValue::from_str) {
+        response.headers_mut().insert(TICKET_HEADER, ticket);
+    }
+    response
+}
+
+/// Writes the results of a lookup with its dependencies.
+pub(super) fn answered(
+    request_id: RequestId,
+    config: &Config,
+    lookup: &Lookup,
+    results: &GraphResults,
+) -> CallerResponse {
+    let body = lookup_json(request_id, config, lookup, results);
+    json_response(200, request_id, &body)
+}
+
+/// Writes a JSON document that is complete already.
+pub(super) fn raw(request_id: RequestId, body: &[u8]) -> CallerResponse {
+    let mut response = json_response(200, request_id, &Value::Null);
+    *response.body_mut() = Full::new(Bytes::copy_from_slice(body));
+    response
+}
+
+/// Builds the JSON document of a lookup.
+pub(super) fn lookup_json(
+    request_id: RequestId,
+    config: &Config,
+    lookup: &Lookup,
+    results: &GraphResults,
+) -> Value {
+    let mut dependencies = Map::new();
+    for name in &lookup.depends_on {
+        if let Some(dependency) = config.lookup(name) {
+            let document = lookup_json(request_id, config, dependency, results);
+            dependencies.insert(name.to_string(), document);
+        }
+    }
+    let mut body = match results.get(&lookup.name) {
+        Some(result) => result_json(lookup, result),
+        None => json!({}),
+    };
+    body["request_id"] = request_id_text(request_id).into();
+    body["lookup"] = (&*lookup.name).into();
+    if !dependencies.is_empty() {
+        body["dependencies"] = Value::Object(dependencies);
+    }
+    body
+}
+
+fn result_json(lookup: &Lookup, result: &QueryResult) -> Value {
+    // A shard that was never refused was cut off by the deadline or was not needed any more.
+    let is_exists = lookup.kind == AttemptKind::Exists;
+    let unfinished = if is_exists && result.found == Some(true) {
+        "not_needed"
+    } else {
+        "deadline_exceeded"
+    };
+    let answered = result
+        .answered
+        .iter()
+        .map(|part| json!({"shard": part.shard, "start": part.range.start, "end": part.range.end}));
+    let missing = result.missing.iter().map(|part| {
+        let reason = part.reason.map_or(unfinished, |code| code.as_str());
+        json!({
+            "shard": part.shard,
+            "start": part.range.start,
+            "end": part.range.end,
+            "reason": reason,
+        })
+    });
+    let results = result
+        .results
+        .iter()
+        .map(|part| match std::str::from_utf8(&part.body) {
+            Ok(text) => json!({"shard": part.shard, "body": text}),
+            Err(_) => json!({"shard": part.shard, "body_base64": STANDARD.encode(&part.body)}),
+        });
+    json!({
+        "snapshot": result.snapshot,
+        "complete": result.is_complete,
+        "coverage": {
+            "answered": answered.collect::<Vec<_>>(),
+            "missing": missing.collect::<Vec<_>>(),
+        },
+        "found": result.found,
+        "results": results.collect::<Vec<_>>(),
+    })
+}
