Test the decisions of the entry

Change: cases and proptest for each module, without sockets. Ruled out: nothing. Conclusion: the modules hold their bounds alone.

--- /dev/null
+++ b/crates/limpet-decide/tests/fair.rs
@@ -0,0 +1,113 @@
+//! Guards against starved teams, lost places, unbounded queues and a queue that stays closed.
+
+use std::time::Duration;
+
+use limpet_decide::fair::{
+    Admission,
+    FairQueue,
+    Limits,
+    Released, //
+};
+use proptest::prelude::*;
+
+const MS: Duration = Duration::from_millis(1);
+const FAR: Duration = Duration::from_secs(1000);
+
+fn queue(running_max: usize) -> FairQueue {
+    FairQueue::new(Limits {
+        running_max,
+        queued_per_team_max: 10,
+        queued_max: 15,
+    })
+}
+
+#[test]
+fn turns_follow_the_weights() {
+    let mut queue = queue(1);
+    assert_eq!(queue.admit(0, "x", 1, FAR, MS), Admission::Run);
+    for id in 0..5 {
+        assert_eq!(queue.admit(100 + id, "heavy", 2, FAR, MS), Admission::Wait);
+        assert_eq!(queue.admit(200 + id, "light", 1, FAR, MS), Admission::Wait);
+    }
+    let order: Vec<_> = (0..6).flat_map(|_| queue.finish(MS, MS)).collect();
+    let expected = [100, 101, 200, 102, 103, 201].map(Released::Run);
+    assert_eq!(order, expected);
+}
+
+#[test]
+fn queues_are_bounded_and_a_full_team_does_not_close_the_queue_for_others() {
+    let mut queue = queue(1);
+    queue.admit(0, "big", 1, FAR, MS);
+    for id in 1..=10 {
+        assert_eq!(queue.admit(id, "big", 1, FAR, MS), Admission::Wait);
+    }
+    assert_eq!(queue.admit(11, "big", 1, FAR, MS), Admission::Full);
+    for id in 20..25 {
+        assert_eq!(queue.admit(id, "small", 1, FAR, MS), Admission::Wait);
+    }
+    assert_eq!(queue.admit(30, "third", 1, FAR, MS), Admission::Full);
+}
+
+#[test]
+fn what_cannot_meet_its_deadline_is_refused_and_the_queue_recovers() {
+    let mut queue = queue(1);
+    queue.admit(0, "a", 1, FAR, MS);
+    // One very slow query makes the estimate of 100 s.
+    assert!(queue.finish(Duration::from_secs(100), MS).is_empty());
+    assert_eq!(queue.admit(1, "a", 1, FAR, MS), Admission::Run);
+    assert_eq!(queue.admit(2, "a", 1, MS * 500, MS), Admission::Late);
+    // As soon as the place is free the next query runs, however long the estimate is.
+    for _ in 0..200 {
+        queue.finish(MS, MS);
+        assert_eq!(queue.admit(3, "a", 1, MS * 500, MS), Admission::Run);
+    }
+    assert_eq!(queue.admit(4, "a", 1, MS * 500, MS), Admission::Wait);
+}
+
+#[test]
+fn an_expired_query_is_released_without_a_place() {
+    let mut queue = queue(1);
+    queue.admit(0, "a", 1, FAR, MS);
+    queue.admit(1, "a", 1, MS * 5, MS);
+    queue.admit(2, "a", 1, FAR, MS);
+    let released = queue.finish(MS, MS * 6);
+    assert_eq!(released, [Released::Expired(1), Released::Run(2)]);
+    assert_eq!(queue.running(), 1);
+}
+
+proptest! {
+    /// No place is lost or given twice, and nobody waits while a place is free.
+    #[test]
+    fn places_are_conserved(steps in prop::collection::vec((0..4u8, 0..3usize), 1..200)) {
+        let mut queue = queue(3);
+        let (mut running, mut waiting) = (0usize, Vec::new());
+        for (id, (step, team)) in (0u64..).zip(steps) {
+            match step {
+                0 | 1 => match queue.admit(id, ["a", "b", "c"][team], team as u32 + 1, FAR, MS) {
+                    Admission::Run => running += 1,
+                    Admission::Wait => waiting.push(id),
+                    Admission::Full | Admission::Late => {}
+                },
+                2 if running > 0 => {
+                    running -= 1;
+                    for released in queue.finish(MS, MS) {
+                        let Released::Run(id) = released else { panic!("nothing expires") };
+                        prop_assert!(waiting.contains(&id));
+                        waiting.retain(|waiting| *waiting != id);
+                        running += 1;
+                    }
+                }
+                3 if !waiting.is_empty() => {
+                    let id = waiting.swap_remove(team % waiting.len());
+                    prop_assert!(queue.cancel(id));
+                    prop_assert!(!queue.cancel(id));
+                }
+                _ => {}
+            }
+            prop_assert_eq!(queue.running(), running);
+            prop_assert_eq!(queue.queued(), waiting.len());
+            prop_assert!(running <= 3);
+            prop_assert!(waiting.is_empty() || running == 3);
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpet-decide/tests/plan.rs
@@ -0,0 +1,88 @@
+//! Guards against coverage that claims keys nobody answered for, above all after a repartitioning.
+
+use limpet_decide::plan::Coverage;
+use limpet_types::{
+    KeyRange,
+    RefusalCode, //
+};
+use proptest::prelude::*;
+
+fn two_shards() -> Coverage {
+    let mut coverage = Coverage::new();
+    coverage.want("a".into(), KeyRange::new(0, 100));
+    coverage.want("b".into(), KeyRange::new(100, 200));
+    coverage
+}
+
+/// Answers of shard `a`, whether each is accepted, and the ranges then missing from `a`.
+type AnswerCase = (&'static [((u64, u64), bool)], &'static [(u64, u64)]);
+
+fn answers_count((answers, missing): AnswerCase) {
+    let mut coverage = two_shards();
+    assert!(coverage.answer("b", KeyRange::new(100, 200)));
+    for ((start, end), is_accepted) in answers {
+        let range = KeyRange::new(*start, *end);
+        assert_eq!(coverage.answer("a", range), *is_accepted, "{range:?}");
+    }
+    let left: Vec<_> = coverage
+        .missing()
+        .iter()
+        .map(|m| (m.range.start, m.range.end))
+        .collect();
+    assert_eq!(left, missing);
+    assert_eq!(coverage.is_complete(), missing.is_empty());
+}
+
+limpet_testkit::cases! {
+    answers_count:
+    the_planned_range_completes => (&[((0, 100), true)], &[]),
+    a_smaller_range_leaves_the_rest_missing => (&[((0, 60), true)], &[(60, 100)]),
+    a_hole_in_the_middle_is_missing => (&[((0, 30), true), ((60, 100), true)], &[(30, 60)]),
+    a_range_past_the_plan_is_dropped => (&[((50, 150), false)], &[(0, 100)]),
+    a_duplicate_is_dropped => (&[((0, 60), true), ((0, 60), false)], &[(60, 100)]),
+    an_overlap_is_dropped => (&[((0, 60), true), ((59, 100), false)], &[(60, 100)]),
+    an_empty_range_covers_nothing => (&[((10, 10), false)], &[(0, 100)]),
+}
+
+#[test]
+fn the_last_reason_of_a_shard_is_named_and_a_reset_forgets_everything() {
+    let mut coverage = two_shards();
+    coverage.refuse("a", RefusalCode::TargetShed);
+    coverage.refuse("a", RefusalCode::TargetFailed);
+    assert_eq!(
+        coverage.missing()[0].reason,
+        Some(RefusalCode::TargetFailed)
+    );
+    assert_eq!(coverage.missing()[1].reason, None);
+    assert!(coverage.answer("a", KeyRange::new(0, 100)));
+    coverage.reset();
+    assert_eq!(coverage.missing().len(), 2);
+    assert_eq!(coverage.missing()[0].reason, None);
+}
+
+proptest! {
+    /// Every wanted key is in exactly one of answered and missing, whatever the targets answer.
+    #[test]
+    fn answered_and_missing_partition_the_wanted_keys(
+        answers in prop::collection::vec((0..2usize, 0..220u64, 0..80u64), 0..12),
+    ) {
+        let mut coverage = two_shards();
+        let mut accepted = vec![false; 200];
+        for (shard, start, len) in answers {
+            let range = KeyRange::new(start, start + len);
+            if coverage.answer(["a", "b"][shard], range) {
+                for key in range.start..range.end {
+                    prop_assert!(!accepted[key as usize], "key {key} accepted twice");
+                    accepted[key as usize] = true;
+                }
+            }
+        }
+        for key in 0..200 {
+            let is_answered = coverage.answered().iter().any(|a| a.range.contains(key));
+            let is_missing = coverage.missing().iter().any(|m| m.range.contains(key));
+            prop_assert_eq!(is_answered, accepted[key as usize]);
+            prop_assert_eq!(is_missing, !accepted[key as usize]);
+        }
+        prop_assert_eq!(coverage.is_complete(), accepted.iter().all(|a| *a));
+    }
+}
--- /dev/null
+++ b/crates/limpet-decide/tests/replica.rs
@@ -0,0 +1,101 @@
+//! Guards against load on cold, leaving and failing targets.
+
+use std::time::Duration;
+
+use limpet_decide::replica::{
+    Candidate,
+    Reason,
+    Views,
+    select, //
+};
+use limpet_types::{
+    RefusalCode,
+    TargetAddr, //
+};
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn addr(target: u16) -> TargetAddr {
+    TargetAddr::from(([127, 0, 0, 1], 9000 + target))
+}
+
+fn candidates() -> Vec<Candidate> {
+    let candidate = |target| Candidate {
+        addr: addr(target),
+        unusable: None,
+    };
+    (0..3).map(candidate).collect()
+}
+
+/// Changes to the views of three equal targets, and the share of each in 3,000 selections.
+type SelectCase = (fn(&mut Views), fn([f64; 3]) -> bool);
+
+fn shares((change, is_expected): SelectCase) {
+    let mut views = Views::new();
+    for target in 0..3 {
+        views.get_mut(addr(target)).latency = Duration::from_millis(5);
+    }
+    change(&mut views);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut counts = [0u32; 3];
+    for _ in 0..3000 {
+        let choice = select(&views, &candidates(), Some(7), NOW, rng.random()).unwrap();
+        counts[choice.index] += 1;
+    }
+    let shares = counts.map(|count| f64::from(count) / 3000.0);
+    assert!(is_expected(shares), "shares {shares:?}");
+}
+
+limpet_testkit::cases! {
+    shares:
+    equal_targets_share => (|_| {}, |s| s.iter().all(|s| (0.30..0.37).contains(s))),
+    a_busy_target_is_avoided => (|v| v.get_mut(addr(0)).in_flight = 1, |s| s[0] == 0.0),
+    a_slow_target_is_avoided =>
+        (|v| v.get_mut(addr(0)).latency = Duration::from_millis(50), |s| s[0] == 0.0),
+    a_failing_target_is_avoided => (|v| v.get_mut(addr(0)).note_failure(NOW), |s| s[0] == 0.0),
+    an_old_failure_is_forgiven_when_others_are_busy => (|v| {
+        v.get_mut(addr(0)).note_failure(NOW - Duration::from_secs(20));
+        v.get_mut(addr(1)).in_flight = 1;
+        v.get_mut(addr(2)).in_flight = 1;
+    }, |s| s[0] == 1.0),
+    a_cold_target_gets_one_in_twenty =>
+        (|v| v.get_mut(addr(0)).cold = true, |s| (0.035..0.065).contains(&s[0])),
+    a_target_without_the_pinned_version_is_left_out =>
+        (|v| v.get_mut(addr(0)).versions = vec![6], |s| s[0] == 0.0),
+}
+
+#[test]
+fn unusable_replicas_are_never_selected_and_their_reason_is_returned() {
+    let views = Views::new();
+    let mut all = candidates();
+    all[0].unusable = Some(RefusalCode::ZoneOut);
+    all[1].unusable = Some(RefusalCode::ZoneOut);
+    for step in 0..100 {
+        let draw = f64::from(step) / 100.0;
+        assert_eq!(select(&views, &all, None, NOW, draw).unwrap().index, 2);
+    }
+    all[2].unusable = Some(RefusalCode::ZoneOut);
+    assert_eq!(
+        select(&views, &all, None, NOW, 0.5),
+        Err(RefusalCode::ZoneOut)
+    );
+    assert_eq!(
+        select(&views, &[], None, NOW, 0.5),
+        Err(RefusalCode::NoTarget)
+    );
+}
+
+#[test]
+fn cold_targets_are_used_when_no_other_is_left() {
+    let mut views = Views::new();
+    for target in 0..3 {
+        views.get_mut(addr(target)).cold = true;
+    }
+    let choice = select(&views, &candidates(), None, NOW, 0.5).unwrap();
+    assert_eq!(choice.reason, Reason::OnlyCold);
+}
--- /dev/null
+++ b/crates/limpet-decide/tests/ticket.rs
@@ -0,0 +1,119 @@
+//! Guards against a ticket that runs twice and against unbounded memory for outcomes.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use limpet_decide::ticket::{
+    Begin,
+    TicketId,
+    TicketLimits,
+    TicketTable, //
+};
+use limpet_types::{
+    Refusal,
+    RefusalCode, //
+};
+use proptest::prelude::*;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn table(tickets_max: usize, outcomes_size_max_bytes: usize) -> TicketTable {
+    TicketTable::new(TicketLimits {
+        tickets_max,
+        outcomes_size_max_bytes,
+        age_max: Duration::from_secs(1),
+    })
+}
+
+#[test]
+fn a_ticket_runs_once_and_repeats_its_outcome() {
+    let mut table = table(10, 1000);
+    let ticket = table.issue("t", MS).unwrap();
+    assert_eq!(table.begin(ticket, "other", 1, MS), Begin::Invalid);
+    assert_eq!(table.begin(ticket + 1, "t", 1, MS), Begin::Invalid);
+    assert_eq!(table.begin(ticket, "t", 1, MS), Begin::Run);
+    assert_eq!(table.begin(ticket, "t", 1, MS), Begin::InProgress);
+    assert_eq!(table.begin(ticket, "t", 2, MS), Begin::Invalid);
+    table.finish(ticket, Ok(vec![1]));
+    assert_eq!(
+        table.begin(ticket, "t", 1, MS),
+        Begin::Recorded(Ok(vec![1]))
+    );
+}
+
+#[test]
+fn an_order_that_did_not_run_gives_its_ticket_back() {
+    let mut table = table(10, 1000);
+    let ticket = table.issue("t", MS).unwrap();
+    assert_eq!(table.begin(ticket, "t", 1, MS), Begin::Run);
+    table.finish(ticket, Err(Refusal::not_run(RefusalCode::NoTarget, "")));
+    assert_eq!(table.begin(ticket, "t", 1, MS), Begin::Run);
+    let unknown = Err(Refusal::maybe_run(RefusalCode::OutcomeUnknown, ""));
+    table.finish(ticket, unknown.clone());
+    assert_eq!(table.begin(ticket, "t", 1, MS), Begin::Recorded(unknown));
+}
+
+#[test]
+fn a_forgotten_ticket_is_never_run() {
+    let mut table = table(2, 1000);
+    let first = table.issue("t", MS).unwrap();
+    table.issue("t", MS).unwrap();
+    table.issue("t", MS).unwrap();
+    assert_eq!(table.begin(first, "t", 1, MS), Begin::Forgotten);
+    let late = MS * 2000;
+    let expired = table.issue("t", MS).unwrap();
+    assert_eq!(table.begin(expired, "t", 1, late), Begin::Forgotten);
+}
+
+#[test]
+fn running_orders_are_not_evicted() {
+    let mut table = table(1, 1000);
+    let first = table.issue("t", MS).unwrap();
+    assert_eq!(table.begin(first, "t", 1, MS), Begin::Run);
+    assert_eq!(table.issue("t", MS * 5000), None);
+}
+
+proptest! {
+    #[test]
+    fn a_ticket_survives_its_text_form(seq: u64, inc: u64, port: u16, team in "[a-z/ é]{1,20}") {
+        let issuer = limpet_types::NodeId::new(([10, 0, 0, 1], port).into(), inc);
+        let id = TicketId::new(issuer, seq, team.into());
+        prop_assert_eq!(id.to_string().parse::<TicketId>(), Ok(id));
+    }
+
+    #[test]
+    fn no_text_panics_the_parser(text in ".{0,60}") {
+        let _ = text.parse::<TicketId>();
+    }
+
+    /// Whatever the order of issues, repeats, outcomes and evictions, no ticket completes two runs.
+    #[test]
+    fn at_most_one_run_ends_in_an_outcome(
+        steps in prop::collection::vec((0..4u8, 0..8u64, 0..400u64), 1..300),
+    ) {
+        let mut table = table(4, 20);
+        let mut now = MS;
+        let mut ran: HashMap<u64, bool> = HashMap::new();
+        for (step, ticket, advance) in steps {
+            now += MS * advance as u32;
+            match step {
+                0 => drop(table.issue("t", now)),
+                1 => if table.begin(ticket, "t", 1, now) == Begin::Run {
+                    let previous = ran.insert(ticket, false);
+                    prop_assert!(previous.is_none(), "ticket {} began twice", ticket);
+                },
+                2 => if let Some(is_ended @ false) = ran.get_mut(&ticket) {
+                    *is_ended = true;
+                    table.finish(ticket, Ok(vec![0; 8]));
+                },
+                _ => if ran.get(&ticket) == Some(&false) {
+                    ran.remove(&ticket);
+                    table.finish(ticket, Err(Refusal::not_run(RefusalCode::NoTarget, "")));
+                },
+            }
+            prop_assert!(table.len() <= 4);
+        }
+    }
+}
