--- a/crates/limpetshuntd/src/admin/status.rs
+++ b/crates/limpetshuntd/src/admin/status.rs
@@ -9,14 +9,19 @@
 use limpet_config::{
     Config,
     TargetSite,
-    TargetState, //
+    TargetState,
+    Team, //
 };
-use limpet_types::status::{
-    ConfigStatus,
-    CoordinatorStatus,
-    MemberStatus,
-    StatusDocument,
-    TargetStatus, //
+use limpet_types::{
+    Role,
+    status::{
+        ConfigStatus,
+        CoordinatorStatus,
+        MemberStatus,
+        StatusDocument,
+        TargetStatus,
+        TokenStatus, //
+    },
 };
 
 use crate::{
@@ -50,7 +55,11 @@
             .as_deref()
             .map(|in_force| targets(board, &in_force.config, now))
             .unwrap_or_default(),
-        tokens: Vec::new(),
+        tokens: in_force
+            .as_deref()
+            .filter(|_| board.role == Role::Entry)
+            .map(|in_force| tokens(board, &in_force.config, now))
+            .unwrap_or_default(),
     }
 }
 
@@ -123,6 +132,15 @@
         .collect()
 }
 
+fn tokens(board: &Blackboard, config: &Config, now: Duration) -> Vec<TokenStatus> {
+    let shares = board.shares();
+    let status = |team: &Team| TokenStatus {
+        team: team.name.clone(),
+        tokens: shares.available(&team.name, now).into(),
+    };
+    config.teams.iter().map(status).collect()
+}
+
 fn whole_ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/limpetshuntd/src/daemon.rs
+++ b/crates/limpetshuntd/src/daemon.rs
@@ -72,6 +72,8 @@
 pub struct Services {
     /// Votes, coordinators and grant clients; set by `lease::start`.
     pub lease: OnceLock<Arc<LeaseState>>,
+    /// Side that faces callers; set on an entry.
+    pub entry: OnceLock<Arc<entry::Entry>>,
 }
 
 /// Runs a process until `shutdown` is ready, then drains it.
