Add scripts/demo.sh

Cause: a newcomer needs one command that shows every kind of query on a fleet like a user's. Change: the script starts the stand-ins, eight entries and eight relays in four zones on loopback, checks each answer, runs a short load and stops everything with SIGTERM; processes are ended by id, also on failure. Ports are drawn free for each run. Ruled out: fixed ports, which forbid a second run.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,199 @@
+#!/usr/bin/env bash
+# Runs a fleet shaped like the Authority's on loopback: four zones, eight VMs (one entry and one relay
+# each), 105 stand-in targets. Sends each kind of query and a short load, then stops everything.
+# Fails if an answer is wrong, a process exits badly or a request is cut.
+#
+#   scripts/demo.sh               development build
+#   LIMPET_DEMO_RELEASE=1 scripts/demo.sh   release build, for latency figures
+#   LIMPET_DEMO_LOAD_S=20 scripts/demo.sh   longer load (seconds)
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+vms=8
+zones=(zone-a zone-b zone-c zone-d)
+ready_limit_s=40
+stop_limit_s=15
+load_s=${LIMPET_DEMO_LOAD_S:-8}
+if [[ -n ${LIMPET_DEMO_RELEASE:-} ]]; then
+    cargo build --workspace --bins --locked --release || exit 1
+    bin=target/release
+else
+    cargo build --workspace --bins --locked || exit 1
+    bin=target/debug
+fi
+
+work=$(mktemp -d)
+declare -A pids=()
+failures=0
+
+fail() {
+    echo "FAILED: $*" >&2
+    failures=$((failures + 1))
+}
+
+# Starts a process in the background and keeps its id under its name.
+start() {
+    local name=$1
+    shift
+    "$@" >"$work/$name.out" 2>"$work/$name.log" &
+    pids[$name]=$!
+}
+
+# Sends SIGTERM to one process, waits for it and reports a bad exit; kills it after the limit.
+stop() {
+    local name=$1 accepted=$2 pid=${pids[$1]:-} code=0 waited=0
+    [[ -n $pid ]] || return 0
+    unset "pids[$name]"
+    kill -TERM "$pid" 2>/dev/null
+    while kill -0 "$pid" 2>/dev/null && ((waited < stop_limit_s * 10)); do
+        sleep 0.1
+        waited=$((waited + 1))
+    done
+    if kill -0 "$pid" 2>/dev/null; then
+        kill -KILL "$pid" 2>/dev/null
+        fail "$name did not stop within $stop_limit_s s"
+    fi
+    wait "$pid"
+    code=$?
+    [[ " $accepted " == *" $code "* ]] || fail "$name exited with $code"
+}
+
+# Ends what is still running, by id, however the script ends.
+cleanup() {
+    local name
+    for name in "${!pids[@]}"; do
+        kill -TERM "${pids[$name]}" 2>/dev/null
+    done
+    sleep 0.2
+    for name in "${!pids[@]}"; do
+        kill -KILL "${pids[$name]}" 2>/dev/null
+        wait "${pids[$name]}" 2>/dev/null
+    done
+    if ((failures > 0)); then
+        echo "logs are in $work" >&2
+    else
+        rm -rf "$work"
+    fi
+}
+trap cleanup EXIT
+trap 'failures=$((failures + 1)); exit 130' INT TERM
+
+mapfile -t ports < <("$bin/limpet-bench" ports --count 8)
+((${#ports[@]} == 8)) || exit 1
+platform_port=${ports[0]} control_port=${ports[1]} target_port=${ports[2]} entry_peer=${ports[3]}
+relay_peer=${ports[4]} entry_admin=${ports[5]} relay_admin=${ports[6]} caller=${ports[7]}
+
+echo "== configuration"
+"$bin/limpet-bench" example authority --text "$work/fleet.toml" --targets "$work/targets.json" \
+    --target-port "$target_port" || exit 1
+"$bin/limpetctl" check "$work/fleet.toml" || exit 1
+
+echo "== start: 105 targets, platform, $vms VMs in ${#zones[@]} zones"
+start targets "$bin/fake-target" --spec "$work/targets.json" --control "127.0.0.1:$control_port"
+platform="127.0.0.1:$platform_port"
+vm_list=()
+for ((i = 0; i < vms; i++)); do
+    vm_list+=(--vm "127.0.0.$((11 + i))=${zones[i % 4]}")
+done
+start platform "$bin/fake-platform" --addr "$platform" --text "$work/fleet.toml" "${vm_list[@]}"
+entries=()
+for ((i = 0; i < vms; i++)); do
+    ip="127.0.0.$((11 + i))"
+    common=(--ip "$ip" --zone "${zones[i % 4]}" --entry-peer-port "$entry_peer"
+        --relay-peer-port "$relay_peer" --config-service "$platform" --vm-list "$platform")
+    start "relay-$i" "$bin/limpetshuntd" relay "${common[@]}" --admin-addr "$ip:$relay_admin"
+    start "entry-$i" "$bin/limpetshuntd" entry "${common[@]}" --admin-addr "$ip:$entry_admin" \
+        --caller-addr "$ip:$caller"
+    entries+=(--entry "$ip:$caller/$ip:$entry_admin")
+done
+
+export LIMPET_ENTRY="127.0.0.11:$caller" LIMPET_ADMIN="127.0.0.11:$entry_admin"
+export LIMPET_KEY=example-key-retail
+unset LIMPET_JSON LIMPET_ALLOW_PARTIAL LIMPET_DEADLINE_MS LIMPET_BODY LIMPET_BODY_FILE LIMPET_TICKET
+
+# Repeats a command until it succeeds or the limit passes.
+wait_for() {
+    local what=$1 began=$SECONDS
+    shift
+    until "$@" >"$work/wait.out" 2>&1; do
+        if ((SECONDS - began >= ready_limit_s)); then
+            cat "$work/wait.out" >&2
+            fail "$what did not come within $ready_limit_s s"
+            return 1
+        fi
+        sleep 0.2
+    done
+    echo "$what after $((SECONDS - began)) s"
+}
+
+echo "== wait for readiness"
+for ((i = 0; i < vms; i++)); do
+    LIMPET_ADMIN="127.0.0.$((11 + i)):$entry_admin" wait_for "status of entry $i" \
+        bash -c "\"$bin/limpetctl\" status --json | grep -q '\"ready\":true'" || exit 1
+done
+# Targets are cold at first and their owners are chosen after the first election.
+for lookup in stock-search batch-exists; do
+    wait_for "complete $lookup" "$bin/limpetctl" lookup "$lookup" --body 'oak 4mm' || exit 1
+done
+wait_for "complete order-status" "$bin/limpetctl" record order-status A-1001 || exit 1
+wait_for "complete fitter" "$bin/limpetctl" record fitter north || exit 1
+
+# Runs limpetctl, prints what it prints and checks exit code and text.
+expect() {
+    local code=$1 text=$2 got
+    shift 2
+    echo "\$ limpetctl $*"
+    "$bin/limpetctl" "$@" >"$work/answer.out" 2>&1
+    got=$?
+    cat "$work/answer.out"
+    ((got == code)) || fail "limpetctl $*: exit code $got, expected $code"
+    grep -q -- "$text" "$work/answer.out" || fail "limpetctl $*: no '$text' in the output"
+}
+
+echo "== each kind of query"
+expect 0 'coverage: complete, 10 of 10 shards, snapshot 1' search stock-search --body 'oak 4mm'
+expect 0 'found: true' exists batch-exists --body 'batch 77'
+expect 0 'coverage: complete, 1 of 1 shards' record order-status A-1001
+expect 0 'dependency stock-search:' lookup quote --record A-1001 --body 'oak 4mm'
+expect 0 'coverage: complete' record fitter north
+expect 0 'coverage: complete' order place-order A-1001 --body '{"planks": 12}'
+ticket=$(sed -n 's/^ticket: //p' "$work/answer.out")
+cp "$work/answer.out" "$work/first-order.out"
+echo "-- the same ticket again: the recorded outcome, no second order"
+expect 0 'coverage: complete' order place-order A-1001 --body '{"planks": 12}' --ticket "$ticket"
+cmp -s <(grep -v '^ticket: ' "$work/first-order.out") "$work/answer.out" ||
+    fail "the repeated ticket gave another outcome"
+echo "-- refusals"
+LIMPET_KEY=no-such-key expect 4 'refused: unauthorized (HTTP 401' search stock-search
+expect 4 'refused: unknown_lookup (HTTP 404' search no-such-lookup
+expect 4 'refused: bad_request (HTTP 400' lookup order-status
+echo "-- route of a record"
+expect 0 'live and owned' explain order-status --record A-1001
+expect 0 '^coordinators (4)' status >/dev/null
+
+echo "== load: $load_s s over $vms entries"
+"$bin/limpet-bench" load "${entries[@]}" --duration-s "$load_s" --output "$work/load.json" \
+    --team retail:example-key-retail:60 --team trade:example-key-trade:60 \
+    --team web:example-key-web:30 --team planning:example-key-planning:10 \
+    --lookup stock-search --lookup batch-exists --lookup order-status@record \
+    --lookup quote@record --lookup place-order@order ||
+    fail "the load saw a wrong answer, or a cut or lost request"
+cat "$work/load.json"
+echo
+
+echo "== stop with SIGTERM"
+for ((i = 0; i < vms; i++)); do
+    stop "entry-$i" 0
+done
+for ((i = 0; i < vms; i++)); do
+    stop "relay-$i" 0
+done
+# The stand-ins have no work to finish; 143 is the default end by SIGTERM.
+stop platform "0 143"
+stop targets "0 143"
+
+if ((failures > 0)); then
+    echo "demo: $failures failures" >&2
+    exit 1
+fi
+echo "demo: ok in $SECONDS s"
