--- a/crates/limpetshuntd/src/blackboard/board.rs
+++ b/crates/limpetshuntd/src/blackboard/board.rs
@@ -52,7 +52,7 @@
     pub role: Role,
     /// Zone of this VM.
     pub zone: ZoneName,
-    /// Written by the daemon.
+    /// Written by the daemon; the freshness controller ends the start.
     pub phase: watch::Sender<Phase>,
     /// Written by the configuration controller.
     pub config: ArcSwapOption<InForce>,
--- a/crates/limpetshuntd/src/daemon.rs
+++ b/crates/limpetshuntd/src/daemon.rs
@@ -74,6 +74,8 @@
     pub lease: OnceLock<Arc<LeaseState>>,
     /// Side that faces callers; set on an entry.
     pub entry: OnceLock<Arc<entry::Entry>>,
+    /// Configuration, freshness, gossip and membership.
+    pub(crate) control: OnceLock<control::Control>,
 }
 
 /// Runs a process until `shutdown` is ready, then drains it.
