--- a/crates/limpet-bench/src/fanout/mod.rs
+++ b/crates/limpet-bench/src/fanout/mod.rs
@@ -16,7 +16,6 @@
 };
 
 use clap::Args;
-use hdrhistogram::Histogram;
 use limpet_fakes::target::FakeTarget;
 use serde::Serialize;
 
@@ -29,7 +28,10 @@
         bare::BareClient,
         tier::Tier, //
     },
-    load::Latency,
+    load::{
+        Latency,
+        new_histogram, //
+    },
     ports::free_ports,
 };
 
@@ -146,7 +148,7 @@
     for target in targets {
         target.stop().await;
     }
-    let (bare, tier) = (bare_side.figures(&own_us)?, tier_side.figures(&own_us)?);
+    let (bare, tier) = (bare_side.figures(&own_us), tier_side.figures(&own_us));
     let ratio = |tier: u64, bare: u64| tier as f64 / bare.max(1) as f64;
     let added_p99_ratio = ratio(tier.added.p99_us, bare.added.p99_us);
     Ok(FanoutFigures {
@@ -185,21 +187,18 @@
         }
     }
 
-    fn figures(
-        &self,
-        own_us: &HashMap<Box<str>, u64>,
-    ) -> Result<SideFigures, hdrhistogram::CreationError> {
-        let (mut total, mut added) = (Histogram::new(3)?, Histogram::new(3)?);
+    fn figures(&self, own_us: &HashMap<Box<str>, u64>) -> SideFigures {
+        let (mut total, mut added) = (new_histogram(), new_histogram());
         for (id, total_us) in &self.total_us {
             total.saturating_record(*total_us);
             if let Some(own_us) = own_us.get(id) {
                 added.saturating_record(total_us.saturating_sub(*own_us));
             }
         }
-        Ok(SideFigures {
+        SideFigures {
             total: Latency::of(&total),
             added: Latency::of(&added),
             incomplete: self.incomplete,
-        })
+        }
     }
 }
--- a/crates/limpet-bench/src/load/mod.rs
+++ b/crates/limpet-bench/src/load/mod.rs
@@ -27,6 +27,7 @@
     classify, //
 };
 pub(crate) use client::PooledClient;
+pub(crate) use report::new_histogram;
 pub use report::{
     Latency,
     Report, //
@@ -38,7 +39,7 @@
     sender::Sender, //
 };
 
-/// Runs the load, prints a progress line each second and the report as JSON.
+/// Runs the load, prints a progress line each second, a summary, and the report as JSON.
 ///
 /// Returns false when an answer was wrong or a request was cut.
 ///
@@ -69,6 +70,7 @@
     balancer.stop();
     checker.await?;
     let report = tally.report(started.elapsed());
+    eprint!("{}", report.summary());
     let json = serde_json::to_string_pretty(&report)?;
     match &arguments.output {
         Some(path) => std::fs::write(path, &json)?,
--- a/crates/limpet-bench/src/load/report.rs
+++ b/crates/limpet-bench/src/load/report.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt::Write as _,
     sync::{
         Mutex,
         MutexGuard,
@@ -102,6 +103,46 @@
     pub const fn is_clean(&self) -> bool {
         self.wrong == 0 && self.cut == 0 && self.lost == 0
     }
+
+    /// Returns a table for a person: latency by lookup, served share by team, what went wrong.
+    pub fn summary(&self) -> String {
+        let mut out = String::new();
+        // Writing to a string does not fail.
+        let _ = self.write_summary(&mut out);
+        out
+    }
+
+    fn write_summary(&self, out: &mut String) -> std::fmt::Result {
+        writeln!(
+            out,
+            "{:<20} {:>7} {:>9} {:>9} {:>9} {:>10} {:>9}",
+            "lookup", "sent", "complete", "p50 ms", "p99 ms", "p99.9 ms", "max ms"
+        )?;
+        let ms = |us: u64| us as f64 / 1e3;
+        for (name, figures) in &self.lookups {
+            let latency = self.lookup_latency.get(name).cloned().unwrap_or_default();
+            writeln!(
+                out,
+                "{name:<20} {:>7} {:>9} {:>9.1} {:>9.1} {:>10.1} {:>9.1}",
+                figures.sent,
+                figures.complete,
+                ms(latency.p50_us),
+                ms(latency.p99_us),
+                ms(latency.p999_us),
+                ms(latency.max_us),
+            )?;
+        }
+        for (name, figures) in &self.teams {
+            let (share, refused) = (figures.served_share, &figures.refused);
+            writeln!(out, "team {name:<15} served {:>7.2}%, refused {refused:?}", share * 100.0)?;
+        }
+        writeln!(
+            out,
+            "{} wrong, {} cut, {} lost, {} without a ready entry, {} not connected, {} maybe run",
+            self.wrong, self.cut, self.lost, self.no_entry, self.not_connected, self.maybe_run
+        )?;
+        self.faults.iter().try_for_each(|fault| writeln!(out, "wrong: {fault}"))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -252,9 +293,13 @@
     }
 }
 
-fn new_histogram() -> Histogram<u64> {
-    // Three digits resolve 0.1% of a value; the constructor refuses only more than five.
-    Histogram::new(3).unwrap_or_else(|_| unreachable!("three significant digits are allowed"))
+/// Returns a histogram of latencies in microseconds.
+///
+/// It has fixed bounds: a histogram that starts small does not grow on a saturating record, and then
+/// every latency reads as its first bound.
+pub(crate) fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LATENCY_MAX_US, 3)
+        .unwrap_or_else(|_| unreachable!("the bounds and three significant digits are allowed"))
 }
 
 fn record(histogram: &mut Histogram<u64>, us: u64) {
--- a/crates/limpetctl/src/command/reply.rs
+++ b/crates/limpetctl/src/command/reply.rs
@@ -19,6 +19,13 @@
     reason: Option<Box<str>>,
 }
 
+impl Range {
+    /// Returns whether the range could change the answer.
+    fn is_needed(&self) -> bool {
+        self.reason.as_deref() != Some("not_needed")
+    }
+}
+
 /// Key ranges answered and missing.
 #[derive(Clone, Debug, Default, Deserialize)]
 struct Coverage {
@@ -47,8 +54,7 @@
     ///
     /// An exists query ends with its first yes and names the rest as not needed.
     fn is_decided(&self) -> bool {
-        let is_needed = |range: &Range| range.reason.as_deref() != Some("not_needed");
-        self.complete || !self.coverage.missing.iter().any(is_needed)
+        self.complete || !self.coverage.missing.iter().any(Range::is_needed)
     }
 }
 
@@ -173,7 +179,7 @@
             Content::Answer(answer) => write_answer(&mut text, answer, ""),
             Content::Refusal(refusal) => {
                 let run = if refusal.not_run {
-                    "not run: it may be sent again"
+                    "not run"
                 } else {
                     "may have run: look before sending an order again"
                 };
@@ -250,6 +256,8 @@
     let total = answered + answer.coverage.missing.len();
     let kind = if answer.complete {
         "complete"
+    } else if answer.is_decided() {
+        "decided by the first yes"
     } else {
         "partial"
     };
@@ -262,6 +270,9 @@
         &format!("{indent}coverage: {kind}, {answered} of {total} shards, snapshot {snapshot}"),
     );
     for range in &answer.coverage.missing {
+        if !range.is_needed() {
+            continue;
+        }
         let reason = range.reason.as_deref().unwrap_or("no reason given");
         let (shard, start, end) = (&range.shard, range.start, range.end);
         line(
--- a/crates/limpetshuntd/src/admin/status.rs
+++ b/crates/limpetshuntd/src/admin/status.rs
@@ -48,7 +48,7 @@
             digest: hex(&in_force.digest),
             size_bytes: in_force.text.len(),
         }),
-        refused_texts: Vec::new(),
+        refused_texts: board.refused_texts.load().to_vec(),
         members: members(board, now),
         coordinators: coordinators(board),
         targets: in_force
--- a/crates/limpetshuntd/src/blackboard/board.rs
+++ b/crates/limpetshuntd/src/blackboard/board.rs
@@ -25,7 +25,8 @@
     NodeId,
     Phase,
     Role,
-    ZoneName, //
+    ZoneName,
+    status::RefusedText, //
 };
 use tokio::sync::{
     Notify,
@@ -56,6 +57,8 @@
     pub phase: watch::Sender<Phase>,
     /// Written by the configuration controller.
     pub config: ArcSwapOption<InForce>,
+    /// Texts refused since the one in force; written by the configuration controller.
+    pub refused_texts: ArcSwap<Vec<RefusedText>>,
     /// Boot time in microseconds until which the configuration counts as current; written by the
     /// freshness controller.
     pub fresh_until_us: AtomicU64,
@@ -85,6 +88,7 @@
             zone,
             phase: watch::Sender::new(Phase::Starting),
             config: ArcSwapOption::empty(),
+            refused_texts: ArcSwap::default(),
             fresh_until_us: AtomicU64::new(0),
             members: ArcSwap::default(),
             coordinates: ArcSwap::default(),
--- a/crates/limpetshuntd/tests/admin.rs
+++ b/crates/limpetshuntd/tests/admin.rs
@@ -16,6 +16,7 @@
     NodeId, Phase, Role,
     status::{
         ExplainDocument,
+        RefusedText,
         StatusDocument, //
     },
 };
@@ -161,9 +162,16 @@
 async fn status_names_the_configuration_and_every_target() {
     let admin = start(Role::Entry).await;
     admin.install(TEXT);
+    let refused = RefusedText {
+        revision: 13,
+        problems: vec!["2:11: impossible vms_max".into()],
+    };
+    let refused_texts = &admin.context.board.refused_texts;
+    refused_texts.store(Arc::new(vec![refused.clone()]));
     let (status, body) = admin.get("/status").await;
     assert_eq!(status, 200);
     let document: StatusDocument = serde_json::from_str(&body).unwrap();
+    assert_eq!(document.refused_texts, [refused]);
     let config = document.config.unwrap();
     assert_eq!((config.revision, &config.digest[..4]), (12, "abab"));
     assert_eq!(document.targets.len(), 105);
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,7 @@
 #   scripts/demo.sh               development build
 #   LIMPET_DEMO_RELEASE=1 scripts/demo.sh   release build, for latency figures
 #   LIMPET_DEMO_LOAD_S=20 scripts/demo.sh   longer load (seconds)
+#   LIMPET_DEMO_REPORT=load.json scripts/demo.sh   keep the report of the load (JSON)
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
@@ -153,6 +154,8 @@
 echo "== each kind of query"
 expect 0 'coverage: complete, 10 of 10 shards, snapshot 1' search stock-search --body 'oak 4mm'
 expect 0 'found: true' exists batch-exists --body 'batch 77'
+grep -q 'coverage: decided by the first yes\|coverage: complete' "$work/answer.out" ||
+    fail 'exists: the answer does not say how it was decided'
 expect 0 'coverage: complete, 1 of 1 shards' record order-status A-1001
 expect 0 'dependency stock-search:' lookup quote --record A-1001 --body 'oak 4mm'
 expect 0 'coverage: complete' record fitter north
@@ -178,8 +181,7 @@
     --lookup stock-search --lookup batch-exists --lookup order-status@record \
     --lookup quote@record --lookup place-order@order ||
     fail "the load saw a wrong answer, or a cut or lost request"
-cat "$work/load.json"
-echo
+cp "$work/load.json" "${LIMPET_DEMO_REPORT:-$work/report.json}"
 
 echo "== stop with SIGTERM"
 for ((i = 0; i < vms; i++)); do
