--- a/crates/limpet-bench/src/load/report.rs
+++ b/crates/limpet-bench/src/load/report.rs
@@ -134,14 +134,20 @@
         }
         for (name, figures) in &self.teams {
             let (share, refused) = (figures.served_share, &figures.refused);
-            writeln!(out, "team {name:<15} served {:>7.2}%, refused {refused:?}", share * 100.0)?;
+            writeln!(
+                out,
+                "team {name:<15} served {:>7.2}%, refused {refused:?}",
+                share * 100.0
+            )?;
         }
         writeln!(
             out,
             "{} wrong, {} cut, {} lost, {} without a ready entry, {} not connected, {} maybe run",
             self.wrong, self.cut, self.lost, self.no_entry, self.not_connected, self.maybe_run
         )?;
-        self.faults.iter().try_for_each(|fault| writeln!(out, "wrong: {fault}"))
+        self.faults
+            .iter()
+            .try_for_each(|fault| writeln!(out, "wrong: {fault}"))
     }
 }
 
--- a/crates/limpet-config/src/model/config.rs
+++ b/crates/limpet-config/src/model/config.rs
@@ -44,7 +44,8 @@
 }
 
 impl Config {
-    pub(crate) fn new(
+    /// Creates the form without look-ups; [`Self::with_index`] adds them.
+    pub fn new(
         fleet: Fleet,
         zones: Vec<Zone>,
         teams: Vec<Team>,
@@ -62,7 +63,7 @@
     }
 
     /// Builds the index; called once when every check has passed.
-    pub(crate) fn with_index(mut self) -> Self {
+    pub fn with_index(mut self) -> Self {
         self.index = Index::new(&self);
         self
     }
--- a/crates/limpetshuntd/tests/lease.rs
+++ b/crates/limpetshuntd/tests/lease.rs
@@ -142,16 +142,11 @@
         weight: 1,
         key_digests: Vec::new(),
     };
-    let config = Config {
-        fleet: Fleet {
-            vms_max: 3,
-            freshness_limit: Duration::from_secs(4),
-        },
-        zones: Vec::new(),
-        teams: vec![team],
-        services: vec![service],
-        lookups: Vec::new(),
+    let fleet = Fleet {
+        vms_max: 3,
+        freshness_limit: Duration::from_secs(4),
     };
+    let config = Config::new(fleet, Vec::new(), vec![team], vec![service], Vec::new()).with_index();
     InForce {
         revision: 1,
         digest: [0; 32],
--- a/crates/limpetshuntd/tests/relay/harness.rs
+++ b/crates/limpetshuntd/tests/relay/harness.rs
@@ -134,19 +134,15 @@
             attempts_max: 2,
             shards: vec![shard],
         };
-        let config = Config {
-            fleet: Fleet {
-                vms_max: 3,
-                freshness_limit: Duration::from_secs(4),
-            },
-            zones: vec![Zone {
-                name: "a".into(),
-                state: zone,
-            }],
-            teams: Vec::new(),
-            services: vec![service],
-            lookups: Vec::new(),
+        let fleet = Fleet {
+            vms_max: 3,
+            freshness_limit: Duration::from_secs(4),
         };
+        let zones = vec![Zone {
+            name: "a".into(),
+            state: zone,
+        }];
+        let config = Config::new(fleet, zones, Vec::new(), vec![service], Vec::new()).with_index();
         let revision = self.context.board.in_force().map_or(1, |f| f.revision + 1);
         self.context.board.config.store(Some(Arc::new(InForce {
             revision,
