--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,7 @@
 #   scripts/demo.sh               development build
 #   LIMPET_DEMO_RELEASE=1 scripts/demo.sh   release build, for latency figures
 #   LIMPET_DEMO_LOAD_S=20 scripts/demo.sh   longer load (seconds)
+#   LIMPET_DEMO_IDLE_S=5 scripts/demo.sh    also memory and CPU of the idle processes (seconds)
 #   LIMPET_DEMO_REPORT=load.json scripts/demo.sh   keep the report of the load (JSON)
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -15,6 +16,7 @@
 ready_limit_s=40
 stop_limit_s=15
 load_s=${LIMPET_DEMO_LOAD_S:-8}
+idle_s=${LIMPET_DEMO_IDLE_S:-0}
 if [[ -n ${LIMPET_DEMO_RELEASE:-} ]]; then
     cargo build --workspace --bins --locked --release || exit 1
     bin=target/release
@@ -174,6 +176,15 @@
 expect 0 'live and owned' explain order-status --record A-1001
 expect 0 '^coordinators (4)' status >/dev/null
 
+if ((idle_s > 0)); then
+    echo "== idle: $idle_s s"
+    daemon_pids=()
+    for ((i = 0; i < vms; i++)); do
+        daemon_pids+=(--pid "${pids[entry-$i]}" --pid "${pids[relay-$i]}")
+    done
+    "$bin/limpet-bench" idle "${daemon_pids[@]}" --duration-s "$idle_s" || fail "idle figures"
+fi
+
 echo "== load: $load_s s over $vms entries"
 "$bin/limpet-bench" load "${entries[@]}" --duration-s "$load_s" --output "$work/load.json" \
     --team retail:example-key-retail:60 --team trade:example-key-trade:60 \
