Stop the demo at once when it is interrupted

Cause: a shell handles SIGTERM only after its foreground command, so an interrupted demo kept 19 processes until the load ended. Change: the load runs in the background and is waited for.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -186,12 +186,15 @@
 fi
 
 echo "== load: $load_s s over $vms entries"
+# In the background, because a shell handles a signal only after its foreground command.
 "$bin/limpet-bench" load "${entries[@]}" --duration-s "$load_s" --output "$work/load.json" \
     --team retail:example-key-retail:60 --team trade:example-key-trade:60 \
     --team web:example-key-web:30 --team planning:example-key-planning:10 \
     --lookup stock-search --lookup batch-exists --lookup order-status@record \
-    --lookup quote@record --lookup place-order@order ||
-    fail "the load saw a wrong answer, or a cut or lost request"
+    --lookup quote@record --lookup place-order@order &
+pids[load]=$!
+wait "${pids[load]}" || fail "the load saw a wrong answer, or a cut or lost request"
+unset "pids[load]"
 cp "$work/load.json" "${LIMPET_DEMO_REPORT:-$work/report.json}"
 
 echo "== stop with SIGTERM"
