--- a/crates/limpet-decide/tests/rights.rs
+++ b/crates/limpet-decide/tests/rights.rs
@@ -408,7 +408,7 @@
             });
         }
         for demand in &mut tokens {
-            // No policy of the entries may be needed for safety: they take all they can get.
+            // The entries take all they can get: exclusive rights may not depend on their policy.
             demand.wanted = WHOLE.burst;
         }
         let request = GrantRequest {
