Build the relay's cost example with Config::new

Cause: Config has a private index since the configuration side's change, so the example did not compile. Change: the same parts through Config::new and with_index.

--- a/crates/limpetshuntd/examples/relay_cost.rs
+++ b/crates/limpetshuntd/examples/relay_cost.rs
@@ -157,19 +157,15 @@
         attempts_max: 2,
         shards: vec![shard],
     };
-    let config = Config {
-        fleet: Fleet {
-            vms_max: 3,
-            freshness_limit: Duration::from_secs(4),
-        },
-        zones: vec![Zone {
-            name: "a".into(),
-            state: ZoneState::In,
-        }],
-        teams: Vec::new(),
-        services: vec![service],
-        lookups: Vec::new(),
+    let fleet = Fleet {
+        vms_max: 3,
+        freshness_limit: Duration::from_secs(4),
     };
+    let zones = vec![Zone {
+        name: "a".into(),
+        state: ZoneState::In,
+    }];
+    let config = Config::new(fleet, zones, Vec::new(), vec![service], Vec::new()).with_index();
     context.board.config.store(Some(Arc::new(InForce {
         revision: 1,
         digest: [0; 32],
