--- /dev/null
+++ b/crates/limpetctl/src/command/reply.rs
@@ -0,0 +1,288 @@
+//! The reply of an entry: an answer with coverage or a refusal.
+
+use std::fmt::Write as _;
+
+use bytes::Bytes;
+use http::Response;
+use limpet_types::RequestId;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::exit::Exit;
+
+/// A range of keys that was answered or is missing.
+#[derive(Clone, Debug, Deserialize)]
+struct Range {
+    shard: Box<str>,
+    start: u64,
+    end: u64,
+    reason: Option<Box<str>>,
+}
+
+impl Range {
+    /// Returns whether the range could change the answer.
+    fn is_needed(&self) -> bool {
+        self.reason.as_deref() != Some("not_needed")
+    }
+}
+
+/// Key ranges answered and missing.
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Coverage {
+    answered: Vec<Range>,
+    missing: Vec<Range>,
+}
+
+/// The fields of an answer that the text form shows.
+#[derive(Clone, Debug, Deserialize)]
+struct Answer {
+    request_id: Option<Box<str>>,
+    snapshot: Option<Value>,
+    #[serde(default)]
+    complete: bool,
+    #[serde(default)]
+    coverage: Coverage,
+    found: Option<bool>,
+    #[serde(default)]
+    results: Vec<ShardResult>,
+    #[serde(default)]
+    dependencies: std::collections::BTreeMap<Box<str>, Answer>,
+}
+
+impl Answer {
+    /// Returns whether nothing is missing that could change the answer.
+    ///
+    /// An exists query ends with its first yes and names the rest as not needed.
+    fn is_decided(&self) -> bool {
+        self.complete || !self.coverage.missing.iter().any(Range::is_needed)
+    }
+}
+
+/// The result of one shard.
+#[derive(Clone, Debug, Deserialize)]
+struct ShardResult {
+    shard: Box<str>,
+    #[serde(default)]
+    body: Value,
+    /// Set instead of `body` if that is not UTF-8.
+    body_base64: Option<Box<str>>,
+}
+
+/// The fields of a refusal.
+#[derive(Clone, Debug, Deserialize)]
+struct RefusalBody {
+    code: Box<str>,
+    not_run: bool,
+    message: Box<str>,
+    request_id: Option<Box<str>>,
+    ticket: Option<Box<str>>,
+}
+
+/// What the body of the response is.
+#[derive(Clone, Debug)]
+enum Content {
+    Answer(Answer),
+    Refusal(RefusalBody),
+    Unreadable(Box<str>),
+}
+
+/// The reply to one query.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    status: u16,
+    ticket: Option<Box<str>>,
+    body: Value,
+    content: Content,
+}
+
+impl Reply {
+    /// Reads a response; a response to another request is unreadable, not an answer.
+    ///
+    /// The body under a ticket may be the recorded outcome of an earlier request; there the header
+    /// tells which request the response belongs to.
+    pub(crate) fn new(response: Response<Bytes>, request_id: RequestId, has_ticket: bool) -> Self {
+        let status = response.status().as_u16();
+        let header = response.headers().get("x-limpet-ticket");
+        let ticket = header.and_then(|value| value.to_str().ok()).map(Into::into);
+        let body: Value = serde_json::from_slice(response.body()).unwrap_or_else(|_| {
+            Value::String(String::from_utf8_lossy(response.body()).into_owned())
+        });
+        let header_id = response.headers().get("x-limpet-request-id");
+        let header_id = header_id.and_then(|value| value.to_str().ok());
+        let recorded_id = header_id.filter(|_| has_ticket);
+        let success = response.status().is_success();
+        let content = read_content(success, &body, request_id, recorded_id);
+        Self {
+            status,
+            ticket,
+            body,
+            content,
+        }
+    }
+
+    /// Returns the ticket that the entry issued, if it asks for one.
+    pub(crate) fn ticket(&self) -> Option<Box<str>> {
+        match &self.content {
+            Content::Refusal(refusal) if &*refusal.code == "ticket_required" => {
+                self.ticket.clone().or_else(|| refusal.ticket.clone())
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns how the command ended.
+    pub(crate) fn exit(&self) -> Exit {
+        match &self.content {
+            Content::Answer(answer) if answer.is_decided() => Exit::Success,
+            Content::Answer(_) => Exit::Partial,
+            Content::Refusal(refusal) if refusal.not_run => Exit::RefusedNotRun,
+            Content::Refusal(_) => Exit::RefusedMaybeRun,
+            Content::Unreadable(_) => Exit::NoResponse,
+        }
+    }
+
+    /// Returns the body as the entry sent it.
+    pub(crate) const fn json(&self) -> &Value {
+        &self.body
+    }
+
+    /// Returns a short line for `watch`.
+    pub(crate) fn line(&self) -> String {
+        match &self.content {
+            Content::Answer(answer) => format!(
+                "{} {}/{} shards{}",
+                if answer.complete {
+                    "complete"
+                } else {
+                    "partial"
+                },
+                answer.coverage.answered.len(),
+                answer.coverage.answered.len() + answer.coverage.missing.len(),
+                answer
+                    .found
+                    .map_or(String::new(), |found| format!(" found={found}")),
+            ),
+            Content::Refusal(refusal) => {
+                format!(
+                    "{} not_run={} {}",
+                    refusal.code, refusal.not_run, refusal.message
+                )
+            }
+            Content::Unreadable(why) => format!("unreadable: {why}"),
+        }
+    }
+
+    /// Returns the text form: answer, coverage, refusal code.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        match &self.content {
+            Content::Answer(answer) => write_answer(&mut text, answer, ""),
+            Content::Refusal(refusal) => {
+                let run = if refusal.not_run {
+                    "not run"
+                } else {
+                    "may have run: look before sending an order again"
+                };
+                line(
+                    &mut text,
+                    &format!("refused: {} (HTTP {}, {run})", refusal.code, self.status),
+                );
+                line(&mut text, &format!("message: {}", refusal.message));
+                if let Some(id) = &refusal.request_id {
+                    line(&mut text, &format!("request: {id}"));
+                }
+            }
+            Content::Unreadable(why) => {
+                line(
+                    &mut text,
+                    &format!("unreadable: HTTP {}: {why}", self.status),
+                );
+            }
+        }
+        text
+    }
+}
+
+fn read_content(
+    success: bool,
+    body: &Value,
+    request_id: RequestId,
+    recorded_id: Option<&str>,
+) -> Content {
+    let expected = format!("{request_id:032x}");
+    let unreadable = |error: serde_json::Error| Content::Unreadable(error.to_string().into());
+    let (content, id) = if success {
+        match Answer::deserialize(body) {
+            Ok(answer) => {
+                let id = answer.request_id.clone();
+                (Content::Answer(answer), id)
+            }
+            Err(error) => return unreadable(error),
+        }
+    } else {
+        match RefusalBody::deserialize(body) {
+            Ok(refusal) => {
+                let id = refusal.request_id.clone();
+                (Content::Refusal(refusal), id)
+            }
+            Err(error) => return unreadable(error),
+        }
+    };
+    match recorded_id.map(Into::into).or(id) {
+        Some(id) if *id != *expected => {
+            Content::Unreadable(format!("response to request {id}, sent was {expected}").into())
+        }
+        _ => content,
+    }
+}
+
+fn write_answer(text: &mut String, answer: &Answer, indent: &str) {
+    for (name, dependency) in &answer.dependencies {
+        line(text, &format!("{indent}dependency {name}:"));
+        write_answer(text, dependency, &format!("{indent}  "));
+    }
+    if let Some(found) = answer.found {
+        line(text, &format!("{indent}found: {found}"));
+    }
+    for result in &answer.results {
+        let body = match (&result.body, &result.body_base64) {
+            (_, Some(base64)) => format!("base64 {base64}"),
+            (Value::String(body), None) => body.clone(),
+            (body, None) => body.to_string(),
+        };
+        line(text, &format!("{indent}{}: {body}", result.shard));
+    }
+    let answered = answer.coverage.answered.len();
+    let total = answered + answer.coverage.missing.len();
+    let kind = if answer.complete {
+        "complete"
+    } else if answer.is_decided() {
+        "decided by the first yes"
+    } else {
+        "partial"
+    };
+    let snapshot = match &answer.snapshot {
+        None | Some(Value::Null) => "none".into(),
+        Some(snapshot) => snapshot.to_string(),
+    };
+    line(
+        text,
+        &format!("{indent}coverage: {kind}, {answered} of {total} shards, snapshot {snapshot}"),
+    );
+    for range in &answer.coverage.missing {
+        if !range.is_needed() {
+            continue;
+        }
+        let reason = range.reason.as_deref().unwrap_or("no reason given");
+        let (shard, start, end) = (&range.shard, range.start, range.end);
+        line(
+            text,
+            &format!("{indent}missing: {shard} {start}..{end}: {reason}"),
+        );
+    }
+}
+
+fn line(text: &mut String, content: &str) {
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "{content}");
+}
--- a/crates/limpetshuntd/src/daemon.rs
+++ b/crates/limpetshuntd/src/daemon.rs
@@ -70,12 +70,14 @@
 /// State that a module keeps between requests; each module sets its own in `start`.
 #[derive(Debug, Default)]
 pub struct Services {
+    /// Votes, coordinators and grant clients; set by `lease::start`.
+    pub lease: OnceLock<Arc<LeaseState>>,
+    /// Side that faces callers; set on an entry.
+    pub entry: OnceLock<Arc<entry::Entry>>,
     /// Configuration, freshness, gossip and membership.
     pub(crate) control: OnceLock<control::Control>,
     /// Set by the relay.
     pub relay: OnceLock<Arc<relay::Relay>>,
-    /// Votes, coordinators and grant clients; set by `lease::start`.
-    pub lease: OnceLock<Arc<LeaseState>>,
 }
 
 /// Runs a process until `shutdown` is ready, then drains it.
