--- a/crates/limpetshuntd/src/entry/orders.rs
+++ b/crates/limpetshuntd/src/entry/orders.rs
@@ -111,7 +111,7 @@
     }
 
     /// Runs an order that another entry forwarded.
-    pub(super) async fn run_forwarded_order(
+    pub async fn run_forwarded_order(
         self: Arc<Self>,
         request: ForwardOrderRequest,
     ) -> ForwardOrderReply {
--- /dev/null
+++ b/crates/limpetshuntd/tests/entry_orders.rs
@@ -0,0 +1,332 @@
+//! Guards against an order that runs twice and against an outcome that is lost or untrue.
+
+mod support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use limpet_peer::{
+    PeerServer,
+    serve, //
+};
+use limpet_types::{
+    NodeRecord, Phase, RefusalCode, Role,
+    message::{
+        PeerReply,
+        PeerRequest, //
+    },
+};
+use limpetshuntd::{
+    blackboard::{
+        Member,
+        Members, //
+    },
+    entry::EntryLimits,
+};
+use support::{
+    Answer,
+    Caller,
+    Fleet,
+    Handler,
+    LONG,
+    answer,
+    config,
+    handler,
+    refuse, //
+};
+use tokio::{
+    net::TcpListener,
+    sync::{
+        Notify,
+        Semaphore, //
+    },
+};
+
+/// Relay side that counts the orders it ran and answers each when the gate lets it.
+#[derive(Clone)]
+struct Orders {
+    runs: Arc<AtomicUsize>,
+    started: Arc<Notify>,
+    gate: Arc<Semaphore>,
+}
+
+impl Orders {
+    fn open() -> Self {
+        Self::with_permits(1000)
+    }
+
+    fn with_permits(permits: usize) -> Self {
+        Self {
+            runs: Arc::default(),
+            started: Arc::default(),
+            gate: Arc::new(Semaphore::new(permits)),
+        }
+    }
+
+    fn handler(&self) -> Handler {
+        let orders = self.clone();
+        handler(move |request| {
+            let orders = orders.clone();
+            async move {
+                let run = orders.runs.fetch_add(1, Ordering::SeqCst);
+                orders.started.notify_one();
+                orders.gate.acquire().await.unwrap().forget();
+                answer(&request, run as u64, true)
+            }
+        })
+    }
+
+    fn runs(&self) -> usize {
+        self.runs.load(Ordering::SeqCst)
+    }
+}
+
+async fn start(handler: Handler) -> Fleet {
+    Fleet::start(config(2, 1), vec![handler], EntryLimits::default()).await
+}
+
+async fn place(caller: &mut Caller, ticket: &str) -> Answer {
+    let headers = [("x-limpet-record", "r1"), ("x-limpet-ticket", ticket)];
+    caller.send("order", &headers).await
+}
+
+/// Serves forwarded orders of `issuer` and makes it known to `other` under that address.
+async fn connect(issuer: &Fleet, other: &Fleet, ticket: &str) -> (PeerServer, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let entry = Arc::clone(&issuer.entry);
+    let node = issuer.board.node;
+    let server = serve(listener, move |request| {
+        let entry = Arc::clone(&entry);
+        async move {
+            let PeerRequest::ForwardOrder(mut order) = request else {
+                return PeerReply::Unsupported;
+            };
+            // The entries of a test have no fixed peer port: the address differs in the ticket.
+            order.ticket = order
+                .ticket
+                .replace(&addr.to_string(), &node.addr.to_string())
+                .into();
+            PeerReply::ForwardOrder(entry.run_forwarded_order(order).await)
+        }
+    });
+    let mut at_addr = node;
+    at_addr.addr = addr;
+    let record = NodeRecord {
+        node: at_addr,
+        role: Role::Entry,
+        zone: "z1".into(),
+        phase: Phase::Serving,
+        revision: 1,
+        coordinates: vec![],
+        version: 1,
+        age: Duration::ZERO,
+    };
+    let member = Member {
+        record,
+        heard_at: Duration::ZERO,
+    };
+    other
+        .board
+        .members
+        .store(Arc::new(Members::default().with_member(member)));
+    (
+        server,
+        ticket.replace(&node.addr.to_string(), &addr.to_string()),
+    )
+}
+
+#[tokio::test]
+async fn a_repeated_ticket_gets_the_recorded_outcome() {
+    let orders = Orders::open();
+    let fleet = start(orders.handler()).await;
+    let mut caller = fleet.caller().await;
+    let ticket = caller.ticket().await;
+    assert_eq!(orders.runs(), 0);
+    let first = place(&mut caller, &ticket).await;
+    assert_eq!(first.status, 200, "{}", first.json);
+    assert_eq!(place(&mut caller, &ticket).await.json, first.json);
+    assert_eq!(orders.runs(), 1);
+}
+
+#[tokio::test]
+async fn a_ticket_serves_one_order_and_one_team() {
+    let orders = Orders::open();
+    let fleet = start(orders.handler()).await;
+    let mut caller = fleet.caller().await;
+    let ticket = caller.ticket().await;
+    place(&mut caller, &ticket).await;
+    let other = [("x-limpet-record", "r2"), ("x-limpet-ticket", &*ticket)];
+    caller
+        .send("order", &other)
+        .await
+        .assert_refused("ticket_invalid", true);
+    let key = format!("Bearer {}", support::OTHER_KEY);
+    let headers = [
+        ("x-limpet-record", "r1"),
+        ("x-limpet-ticket", &*ticket),
+        ("authorization", &*key),
+    ];
+    caller
+        .send("order", &headers)
+        .await
+        .assert_refused("ticket_invalid", true);
+    place(&mut caller, "nonsense")
+        .await
+        .assert_refused("ticket_invalid", true);
+    assert_eq!(orders.runs(), 1);
+}
+
+#[tokio::test]
+async fn concurrent_repeats_run_once_and_get_the_same_outcome() {
+    let orders = Orders::with_permits(0);
+    let fleet = start(orders.handler()).await;
+    let ticket = fleet.caller().await.ticket().await;
+    let mut repeats = tokio::task::JoinSet::new();
+    for _ in 0..8 {
+        let (mut caller, ticket) = (fleet.caller().await, ticket.clone());
+        repeats.spawn(async move { place(&mut caller, &ticket).await.json });
+    }
+    orders.started.notified().await;
+    orders.gate.add_permits(100);
+    let outcomes = repeats.join_all().await;
+    assert!(
+        outcomes.iter().all(|json| *json == outcomes[0]),
+        "{outcomes:?}"
+    );
+    assert_eq!(outcomes[0]["complete"], true);
+    assert_eq!(orders.runs(), 1);
+}
+
+#[tokio::test]
+async fn an_order_resent_through_another_entry_runs_once() {
+    let orders = Orders::open();
+    let (issuer, other) = (start(orders.handler()).await, start(orders.handler()).await);
+    let ticket = issuer.caller().await.ticket().await;
+    let (server, forwarded) = connect(&issuer, &other, &ticket).await;
+    let direct = place(&mut issuer.caller().await, &ticket).await;
+    let resent = place(&mut other.caller().await, &forwarded).await;
+    assert_eq!(resent.json, direct.json);
+    assert_eq!(orders.runs(), 1);
+    server.stop().await;
+}
+
+#[tokio::test]
+async fn a_ticket_of_a_dead_or_unknown_issuer_is_never_run() {
+    let orders = Orders::open();
+    let (issuer, other) = (start(orders.handler()).await, start(orders.handler()).await);
+    let ticket = issuer.caller().await.ticket().await;
+    let mut caller = other.caller().await;
+    place(&mut caller, &ticket)
+        .await
+        .assert_refused("outcome_unknown", false);
+    let (server, forwarded) = connect(&issuer, &other, &ticket).await;
+    server.stop().await;
+    place(&mut caller, &forwarded)
+        .await
+        .assert_refused("outcome_unknown", false);
+    // The address is used again by another incarnation.
+    let restarted = start(orders.handler()).await;
+    let mut restarted_caller = restarted.caller().await;
+    place(&mut restarted_caller, &ticket)
+        .await
+        .assert_refused("outcome_unknown", false);
+    assert_eq!(orders.runs(), 0);
+}
+
+#[tokio::test]
+async fn an_order_that_may_have_run_is_unknown_and_never_run_again() {
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&runs);
+    let relay = handler(move |request| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        async move { refuse(&request, RefusalCode::TargetFailed, false) }
+    });
+    let fleet = start(relay).await;
+    let mut caller = fleet.caller().await;
+    let ticket = caller.ticket().await;
+    for _ in 0..3 {
+        place(&mut caller, &ticket)
+            .await
+            .assert_refused("outcome_unknown", false);
+    }
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn an_order_that_certainly_did_not_run_is_retried_and_keeps_its_ticket() {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let relay = handler(move |request| {
+        let call = calls.fetch_add(1, Ordering::SeqCst);
+        async move {
+            // Three attempts of the first try, then one of the second.
+            match call {
+                0..4 => refuse(&request, RefusalCode::TargetShed, true),
+                _ => answer(&request, 1, true),
+            }
+        }
+    });
+    let fleet = start(relay).await;
+    let mut caller = fleet.caller().await;
+    let ticket = caller.ticket().await;
+    place(&mut caller, &ticket)
+        .await
+        .assert_refused("target_shed", true);
+    let placed = place(&mut caller, &ticket).await;
+    assert_eq!(placed.status, 200, "{}", placed.json);
+}
+
+#[tokio::test]
+async fn the_outcome_outlives_the_caller_and_a_drain_waits_for_it() {
+    let orders = Orders::with_permits(0);
+    let fleet = start(orders.handler()).await;
+    let mut caller = fleet.caller().await;
+    let ticket = caller.ticket().await;
+    tokio::select! {
+        _ = place(&mut caller, &ticket) => panic!("the gate is closed"),
+        () = orders.started.notified() => {}
+    }
+    caller.connection.abort();
+    let mut repeating = fleet.caller().await;
+    let repeat = tokio::spawn(async move { place(&mut repeating, &ticket).await });
+    while fleet.relays.is_empty() || orders.runs() == 0 {
+        tokio::task::yield_now().await;
+    }
+    orders.gate.add_permits(1);
+    assert_eq!(repeat.await.unwrap().status, 200);
+    assert_eq!(orders.runs(), 1);
+    fleet.board.phase.send_replace(Phase::Draining);
+    tokio::time::timeout(LONG, fleet.entry.drain())
+        .await
+        .unwrap();
+}
+
+#[tokio::test]
+async fn an_order_past_its_deadline_is_unknown() {
+    let orders = Orders::with_permits(0);
+    let fleet = start(orders.handler()).await;
+    let mut caller = fleet.caller().await;
+    let ticket = caller.ticket().await;
+    let headers = [
+        ("x-limpet-record", "r1"),
+        ("x-limpet-ticket", &*ticket),
+        ("x-limpet-deadline-ms", "100"),
+    ];
+    caller
+        .send("order", &headers)
+        .await
+        .assert_refused("outcome_unknown", false);
+    orders.gate.add_permits(10);
+    place(&mut caller, &ticket)
+        .await
+        .assert_refused("outcome_unknown", false);
+    assert_eq!(orders.runs(), 1);
+}
--- /dev/null
+++ b/crates/limpetshuntd/tests/support/mod.rs
@@ -0,0 +1,380 @@
+//! An entry with fake relays, and a caller.
+
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        atomic::Ordering, //
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{
+    Request,
+    Response, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{
+        SendRequest,
+        handshake, //
+    },
+};
+use hyper_util::rt::TokioIo;
+use limpet_config::{
+    Config,
+    Fleet as FleetNumbers,
+    Lookup,
+    Service,
+    ServiceKind,
+    Shard,
+    Target,
+    TargetState,
+    Team,
+    Zone,
+    ZoneState, //
+};
+use limpet_peer::{
+    PeerClient,
+    PeerServer,
+    serve, //
+};
+use limpet_types::{
+    IndexVersion, KeyRange, NodeId, Phase, Refusal, RefusalCode, Role,
+    key_range::KEY_SPACE_END,
+    message::{
+        AttemptAnswer,
+        AttemptKind,
+        AttemptReply,
+        AttemptRequest,
+        PeerReply,
+        PeerRequest, //
+    },
+};
+use limpetshuntd::{
+    Blackboard,
+    blackboard::{
+        Directory,
+        InForce, //
+    },
+    entry::{
+        Entry,
+        EntryLimits, //
+    },
+};
+use serde_json::Value;
+use tokio::net::{
+    TcpListener,
+    TcpStream, //
+};
+
+pub const KEY: &str = "key-of-a";
+pub const OTHER_KEY: &str = "key-of-b";
+pub const LONG: Duration = Duration::from_secs(20);
+
+pub type Handler = Arc<dyn Fn(AttemptRequest) -> BoxFuture<'static, AttemptReply> + Send + Sync>;
+
+pub fn handler<F>(run: impl Fn(AttemptRequest) -> F + Send + Sync + 'static) -> Handler
+where
+    F: Future<Output = AttemptReply> + Send + 'static,
+{
+    Arc::new(move |request| Box::pin(run(request)))
+}
+
+pub fn reply(
+    request: &AttemptRequest,
+    outcome: Result<AttemptAnswer, Refusal>,
+    held: &[IndexVersion],
+) -> AttemptReply {
+    AttemptReply {
+        request_id: request.request_id,
+        attempt: request.attempt,
+        shard: request.shard.clone(),
+        target: request.target.clone(),
+        outcome,
+        versions_held: held.to_vec(),
+        target_cold: false,
+        target_time: Duration::ZERO,
+        queue_time: Duration::ZERO,
+    }
+}
+
+pub fn answer(request: &AttemptRequest, version: IndexVersion, found: bool) -> AttemptReply {
+    let answer = AttemptAnswer {
+        range: request.range,
+        snapshot: Some(version),
+        found,
+        body: format!("{}@{version}", request.shard).into_bytes(),
+    };
+    reply(request, Ok(answer), &[version])
+}
+
+pub fn refuse(request: &AttemptRequest, code: RefusalCode, not_run: bool) -> AttemptReply {
+    let refusal = Refusal {
+        code,
+        not_run,
+        message: "".into(),
+    };
+    reply(request, Err(refusal), &[])
+}
+
+/// Address of a replica; nothing listens there, relays are fakes.
+pub fn target_addr(shard: usize, replica: usize) -> SocketAddr {
+    SocketAddr::from((
+        [10, 0, (shard >> 8) as u8, shard as u8],
+        9000 + replica as u16,
+    ))
+}
+
+pub fn config(shards: usize, replicas: usize) -> Config {
+    let step = KEY_SPACE_END / shards as u64;
+    let target = |shard: usize, replica: usize| Target {
+        name: format!("t{shard}-{replica}").into(),
+        addr: target_addr(shard, replica),
+        zone: "z1".into(),
+        state: TargetState::Live,
+    };
+    let shard = |index: usize| Shard {
+        name: format!("s{index:03}").into(),
+        range: KeyRange::new(
+            index as u64 * step,
+            if index + 1 == shards {
+                KEY_SPACE_END
+            } else {
+                (index as u64 + 1) * step
+            },
+        ),
+        targets: (0..replicas)
+            .map(|replica| target(index, replica))
+            .collect(),
+    };
+    let service = Service {
+        name: "stock".into(),
+        kind: ServiceKind::Search,
+        open: false,
+        snapshot: true,
+        slots: 2,
+        connections_max: 25,
+        cold_limit: 1,
+        hedge: true,
+        attempts_max: 3,
+        shards: (0..shards).map(shard).collect(),
+    };
+    let lookup = |name: &str, kind| Lookup {
+        name: name.into(),
+        service: "stock".into(),
+        kind,
+        depends_on: vec![],
+        teams: vec![],
+    };
+    let team = |name: &str, key: &str| Team {
+        name: name.into(),
+        rate_per_s: 1000.0,
+        burst: 1000,
+        weight: 1,
+        key_digests: vec![*blake3::hash(key.as_bytes()).as_bytes()],
+    };
+    Config {
+        fleet: FleetNumbers {
+            vms_max: 1,
+            freshness_limit: Duration::from_secs(4),
+        },
+        zones: vec![Zone {
+            name: "z1".into(),
+            state: ZoneState::In,
+        }],
+        teams: vec![team("a", KEY), team("b", OTHER_KEY)],
+        services: vec![service],
+        lookups: vec![
+            lookup("search", AttemptKind::Search),
+            lookup("exists", AttemptKind::Exists),
+            lookup("record", AttemptKind::Record),
+            lookup("order", AttemptKind::Order),
+        ],
+    }
+}
+
+/// An entry that serves callers, with the relays that it asks.
+pub struct Fleet {
+    pub entry: Arc<Entry>,
+    pub board: Arc<Blackboard>,
+    pub callers: SocketAddr,
+    pub relays: Vec<PeerServer>,
+}
+
+impl Fleet {
+    /// One relay owns replica `i` of every shard for each handler `i`.
+    pub async fn start(config: Config, handlers: Vec<Handler>, limits: EntryLimits) -> Self {
+        let mut relays = Vec::new();
+        let mut owners = Vec::new();
+        for handler in handlers {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            owners.push(listener.local_addr().unwrap());
+            relays.push(serve(listener, move |request| {
+                let handler = Arc::clone(&handler);
+                async move {
+                    match request {
+                        PeerRequest::Attempt(request) => PeerReply::Attempt(handler(request).await),
+                        _ => PeerReply::Unsupported,
+                    }
+                }
+            }));
+        }
+        Self::start_with_owners(config, &owners, relays, limits).await
+    }
+
+    pub async fn start_with_owners(
+        config: Config,
+        owners: &[SocketAddr],
+        relays: Vec<PeerServer>,
+        limits: EntryLimits,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let callers = listener.local_addr().unwrap();
+        // The peer address of the entry is free for a test that serves forwarded orders there.
+        let peer_addr = SocketAddr::from(([127, 0, 0, 1], 1));
+        let node = NodeId::new(peer_addr, rand::random());
+        let board = Blackboard::new(node, Role::Entry, "z1".into());
+        let mut directory = Directory::default();
+        for site in config.targets() {
+            if let Some(owner) = owners.get(site.replica_index) {
+                directory = directory.with_owner(site.target.addr, NodeId::new(*owner, 1));
+            }
+        }
+        board.directory.store(Arc::new(directory));
+        install(&board, config);
+        board.fresh_until_us.store(u64::MAX, Ordering::Release);
+        grant(&board, "a", 1_000_000);
+        grant(&board, "b", 1_000_000);
+        board.phase.send_replace(Phase::Serving);
+        let entry = Entry::new(Arc::clone(&board), PeerClient::new(), limits);
+        entry.serve(listener);
+        Self {
+            entry,
+            board,
+            callers,
+            relays,
+        }
+    }
+
+    pub async fn caller(&self) -> Caller {
+        Caller::connect(self.callers).await
+    }
+}
+
+/// Puts a configuration in force.
+pub fn install(board: &Blackboard, config: Config) {
+    board.config.store(Some(Arc::new(InForce {
+        revision: 1,
+        digest: [0; 32],
+        text: "".into(),
+        config,
+    })));
+}
+
+/// Gives tokens to a team.
+pub fn grant(board: &Blackboard, team: &str, count: u32) {
+    board.shares().add(team, count, Duration::MAX);
+    board.shares_refilled.notify_waiters();
+}
+
+pub struct Answer {
+    pub status: u16,
+    pub headers: HashMap<String, String>,
+    pub json: Value,
+}
+
+impl Answer {
+    pub fn code(&self) -> &str {
+        self.json["code"].as_str().unwrap_or("")
+    }
+
+    pub fn assert_refused(&self, code: &str, not_run: bool) {
+        assert_eq!(
+            (self.code(), &self.json["not_run"]),
+            (code, &not_run.into()),
+            "{}",
+            self.json
+        );
+    }
+}
+
+/// One connection of a caller.
+pub struct Caller {
+    sender: SendRequest<Full<Bytes>>,
+    pub connection: tokio::task::JoinHandle<()>,
+}
+
+impl Caller {
+    pub async fn connect(addr: SocketAddr) -> Self {
+        let stream = TcpStream::connect(addr).await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.unwrap();
+        let connection = tokio::spawn(async move { drop(connection.await) });
+        Self { sender, connection }
+    }
+
+    /// Sends a request with the key of team `a` unless `headers` has another.
+    pub async fn send(&mut self, lookup: &str, headers: &[(&str, &str)]) -> Answer {
+        self.send_body(lookup, headers, Bytes::from_static(b"planks"))
+            .await
+    }
+
+    pub async fn send_body(
+        &mut self,
+        lookup: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Answer {
+        let mut request = Request::post(format!("/v1/lookups/{lookup}")).header("host", "entry");
+        if !headers.iter().any(|(name, _)| *name == "authorization") {
+            request = request.header("authorization", format!("Bearer {KEY}"));
+        }
+        if !headers
+            .iter()
+            .any(|(name, _)| *name == "x-limpet-deadline-ms")
+        {
+            request = request.header("x-limpet-deadline-ms", "5000");
+        }
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body)).unwrap();
+        self.sender.ready().await.unwrap();
+        let response: Response<Incoming> = self.sender.send_request(request).await.unwrap();
+        let status = response.status().as_u16();
+        let text = |value: &http::HeaderValue| value.to_str().unwrap().to_owned();
+        let headers = response
+            .headers()
+            .iter()
+            .map(|(name, value)| (name.to_string(), text(value)))
+            .collect();
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        let json = serde_json::from_slice(&body).unwrap();
+        Answer {
+            status,
+            headers,
+            json,
+        }
+    }
+
+    /// Gets a ticket and places the order with it.
+    pub async fn ticket(&mut self) -> String {
+        let answer = self.send("order", &[("x-limpet-record", "r1")]).await;
+        answer.assert_refused("ticket_required", true);
+        answer.headers["x-limpet-ticket"].clone()
+    }
+}
+
+/// Counts attempts by what a test keys them with.
+pub type Log = Arc<Mutex<Vec<AttemptRequest>>>;
