Keep limpetctl from panicking on a closed pipe

Cause: 'limpetctl status | head' panicked, because println! does when its reader is gone. Change: lines go through one function that leaves such an error out. Before: panic with a backtrace, exit 101. After: the test with a closed pipe ends with the command's own exit code.

--- a/crates/limpetctl/src/command/check.rs
+++ b/crates/limpetctl/src/command/check.rs
@@ -9,6 +9,7 @@
 use crate::{
     arguments::CheckArguments,
     exit::Exit, //
+    output::say,
 };
 
 /// One problem in the JSON form.
@@ -39,10 +40,10 @@
         print_json(problems);
     } else {
         for problem in problems {
-            println!("{file}:{problem}");
+            say!("{file}:{problem}");
         }
         if let Ok(config) = &result {
-            println!(
+            say!(
                 "{file}: ok: {} zones, {} teams, {} services, {} targets, {} lookups",
                 config.zones.len(),
                 config.teams.len(),
@@ -82,7 +83,7 @@
         })
         .collect();
     match serde_json::to_string_pretty(&records) {
-        Ok(text) => println!("{text}"),
+        Ok(text) => say!("{text}"),
         Err(error) => eprintln!("error: {error}"),
     }
 }
--- a/crates/limpetctl/src/command/explain.rs
+++ b/crates/limpetctl/src/command/explain.rs
@@ -6,6 +6,7 @@
     arguments::ExplainArguments,
     command::admin,
     exit::Exit, //
+    output::say,
 };
 
 /// Asks an entry how it would route a lookup and prints the route.
@@ -15,7 +16,7 @@
         path.push_str(&format!("&record={}", admin::escape(record)));
     }
     match admin::get::<ExplainDocument>(arguments.admin.admin, &path).await {
-        Ok(received) if json => println!("{}", received.json),
+        Ok(received) if json => say!("{}", received.json),
         Ok(received) => print_text(&received.document),
         Err(error) => return error.report(),
     }
@@ -23,14 +24,14 @@
 }
 
 fn print_text(document: &ExplainDocument) {
-    println!("revision {}", document.revision);
+    say!("revision {}", document.revision);
     for step in &document.steps {
         let access = if step.open {
             "open to all"
         } else {
             "needs an API key"
         };
-        println!(
+        say!(
             "{} ({} on {}, {access}, {} shards)",
             step.lookup,
             step.kind,
@@ -38,15 +39,18 @@
             step.shards.len(),
         );
         for shard in &step.shards {
-            println!("  {} {}..{}", shard.shard, shard.start, shard.end);
+            say!("  {} {}..{}", shard.shard, shard.start, shard.end);
             for replica in &shard.replicas {
                 let mark = if replica.usable { "+" } else { "-" };
                 let relay = replica
                     .relay
                     .map_or("none".into(), |relay| relay.to_string());
-                println!(
+                say!(
                     "    {mark} {} {} zone {} through relay {relay}: {}",
-                    replica.target, replica.addr, replica.zone, replica.reason,
+                    replica.target,
+                    replica.addr,
+                    replica.zone,
+                    replica.reason,
                 );
             }
         }
--- a/crates/limpetctl/src/command/query.rs
+++ b/crates/limpetctl/src/command/query.rs
@@ -21,6 +21,7 @@
         self,
         ClientError, //
     },
+    output::say,
 };
 
 /// Wait for a response beyond the deadline, so that a refusal at the deadline still arrives.
@@ -183,9 +184,9 @@
     match result {
         Ok(reply) => {
             if json {
-                println!("{}", reply.json());
+                say!("{}", reply.json());
             } else {
-                print!("{}", reply.text());
+                say!("{}", reply.text().trim_end());
             }
             reply.exit()
         }
--- a/crates/limpetctl/src/command/status.rs
+++ b/crates/limpetctl/src/command/status.rs
@@ -6,12 +6,13 @@
     arguments::StatusArguments,
     command::admin,
     exit::Exit, //
+    output::say,
 };
 
 /// Gets the view of a process and prints it.
 pub(crate) async fn run(arguments: StatusArguments, json: bool) -> Exit {
     match admin::get::<StatusDocument>(arguments.admin.admin, "/status").await {
-        Ok(received) if json => println!("{}", received.json),
+        Ok(received) if json => say!("{}", received.json),
         Ok(received) => print_text(&received.document),
         Err(error) => return error.report(),
     }
@@ -19,28 +20,33 @@
 }
 
 fn print_text(status: &StatusDocument) {
-    println!(
+    say!(
         "node       {} {:?} zone {}",
-        status.node, status.role, status.zone
+        status.node,
+        status.role,
+        status.zone
     );
     let reason = status.not_ready_reason.as_deref().unwrap_or("ready");
-    println!("phase      {:?}, {reason}", status.phase);
+    say!("phase      {:?}, {reason}", status.phase);
     match &status.config {
-        Some(config) => println!(
+        Some(config) => say!(
             "config     revision {}, digest {:.16}, {} bytes, fresh for {} ms",
-            config.revision, config.digest, config.size_bytes, status.fresh_for_ms,
+            config.revision,
+            config.digest,
+            config.size_bytes,
+            status.fresh_for_ms,
         ),
-        None => println!("config     none yet"),
+        None => say!("config     none yet"),
     }
     for refused in &status.refused_texts {
-        println!("refused    revision {}", refused.revision);
+        say!("refused    revision {}", refused.revision);
         for problem in &refused.problems {
-            println!("           {problem}");
+            say!("           {problem}");
         }
     }
-    println!("\nmembers ({})", status.members.len());
+    say!("\nmembers ({})", status.members.len());
     for member in &status.members {
-        println!(
+        say!(
             "  {:<42} {:<6} {:<10} {:<9} revision {:<6} heard {} ms ago",
             member.node,
             format!("{:?}", member.role),
@@ -50,11 +56,11 @@
             member.age_ms,
         );
     }
-    println!("\ncoordinators ({})", status.coordinators.len());
+    say!("\ncoordinators ({})", status.coordinators.len());
     for coordinator in &status.coordinators {
-        println!("  group {}: {}", coordinator.group, coordinator.node);
+        say!("  group {}: {}", coordinator.group, coordinator.node);
     }
-    println!("\ntargets ({})", status.targets.len());
+    say!("\ntargets ({})", status.targets.len());
     for target in &status.targets {
         let owner = target
             .owner
@@ -62,13 +68,18 @@
         let own = target.owned_for_ms.map_or(String::new(), |left| {
             format!(" (this relay, for {left} ms)")
         });
-        println!(
+        say!(
             "  {:<28} {:<21} {:<10} {:<8} {}/{} owner {owner}{own}",
-            target.name, target.addr, target.zone, target.state, target.service, target.shard,
+            target.name,
+            target.addr,
+            target.zone,
+            target.state,
+            target.service,
+            target.shard,
         );
     }
-    println!("\ntokens ({} teams)", status.tokens.len());
+    say!("\ntokens ({} teams)", status.tokens.len());
     for tokens in &status.tokens {
-        println!("  {:<20} {}", tokens.team, tokens.tokens);
+        say!("  {:<20} {}", tokens.team, tokens.tokens);
     }
 }
--- a/crates/limpetctl/src/command/watch.rs
+++ b/crates/limpetctl/src/command/watch.rs
@@ -12,6 +12,7 @@
         QueryError, //
     },
     exit::Exit,
+    output::say,
 };
 
 /// Repeats a query and prints a line for each reply; ends as the last query did.
@@ -51,15 +52,15 @@
 ) -> Exit {
     match result {
         Ok(reply) if json => {
-            println!("{}", reply.json());
+            say!("{}", reply.json());
             reply.exit()
         }
         Ok(reply) => {
-            println!("{number} {ms:.1} ms {}", reply.line());
+            say!("{number} {ms:.1} ms {}", reply.line());
             reply.exit()
         }
         Err(error) => {
-            println!("{number} {ms:.1} ms no response: {error}");
+            say!("{number} {ms:.1} ms no response: {error}");
             error.exit()
         }
     }
--- a/crates/limpetctl/src/lib.rs
+++ b/crates/limpetctl/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod command;
 pub mod exit;
 pub mod http_client;
+mod output;
 
 pub use arguments::Arguments;
--- a/crates/limpetctl/tests/arguments.rs
+++ b/crates/limpetctl/tests/arguments.rs
@@ -54,3 +54,16 @@
         "{help}"
     );
 }
+
+#[test]
+fn a_closed_pipe_is_no_panic() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/authority.toml");
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let output = Command::new(env!("CARGO_BIN_EXE_limpetctl"))
+        .args(["check", file])
+        .stdout(writer)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
