Give tokens in the entry's tests through the lease side's Shares

Cause: the entry's test support used its own Shares::add and built Config by its fields; in the merged tree Shares is the lease side's and Config has an index. Change: the support grants with Shares::apply, as a reply of a coordinator does, and builds Config with new and with_index. No check is changed.

--- a/crates/limpetshuntd/tests/support/mod.rs
+++ b/crates/limpetshuntd/tests/support/mod.rs
@@ -57,8 +57,10 @@
         AttemptKind,
         AttemptReply,
         AttemptRequest,
+        GrantReply,
         PeerReply,
-        PeerRequest, //
+        PeerRequest,
+        TokenGrant, //
     },
 };
 use limpetshuntd::{
@@ -184,24 +186,22 @@
         weight: 1,
         key_digests: vec![*blake3::hash(key.as_bytes()).as_bytes()],
     };
-    Config {
-        fleet: FleetNumbers {
-            vms_max: 1,
-            freshness_limit: Duration::from_secs(4),
-        },
-        zones: vec![Zone {
-            name: "z1".into(),
-            state: ZoneState::In,
-        }],
-        teams: vec![team("a", KEY), team("b", OTHER_KEY)],
-        services: vec![service],
-        lookups: vec![
-            lookup("search", AttemptKind::Search),
-            lookup("exists", AttemptKind::Exists),
-            lookup("record", AttemptKind::Record),
-            lookup("order", AttemptKind::Order),
-        ],
-    }
+    let fleet = FleetNumbers {
+        vms_max: 1,
+        freshness_limit: Duration::from_secs(4),
+    };
+    let zones = vec![Zone {
+        name: "z1".into(),
+        state: ZoneState::In,
+    }];
+    let teams = vec![team("a", KEY), team("b", OTHER_KEY)];
+    let lookups = vec![
+        lookup("search", AttemptKind::Search),
+        lookup("exists", AttemptKind::Exists),
+        lookup("record", AttemptKind::Record),
+        lookup("order", AttemptKind::Order),
+    ];
+    Config::new(fleet, zones, teams, vec![service], lookups).with_index()
 }
 
 /// An entry that serves callers, with the relays that it asks.
@@ -284,7 +284,27 @@
 
 /// Gives tokens to a team.
 pub fn grant(board: &Blackboard, team: &str, count: u32) {
-    board.shares().add(team, count, Duration::MAX);
+    let now = board.now();
+    let reply = GrantReply {
+        group: 0,
+        coordinator: board.node,
+        sequence: u64::try_from(now.as_nanos()).unwrap(),
+        is_coordinator: true,
+        term: 1,
+        token_ttl: Duration::from_secs(3_600),
+        ownership_ttl: Duration::ZERO,
+        tokens: vec![TokenGrant {
+            team: team.into(),
+            tokens: count,
+        }],
+        targets: Vec::new(),
+        directory_version: 0,
+        directory: None,
+    };
+    let mut shares = board.shares();
+    shares.set_teams(["a", "b"].into_iter());
+    assert!(shares.apply(&reply, now, now));
+    drop(shares);
     board.shares_refilled.notify_waiters();
 }
 
