Build the look-ups again when a test installs a configuration

Cause: the entry's tests change fields of a compiled Config; its index is then out of date (four tests failed, one with an index out of bounds). Change: the test support calls with_index on installing.

--- a/crates/limpetshuntd/tests/support/mod.rs
+++ b/crates/limpetshuntd/tests/support/mod.rs
@@ -278,7 +278,8 @@
         revision: 1,
         digest: [0; 32],
         text: "".into(),
-        config,
+        // Tests change fields of a compiled form, so its look-ups are built again.
+        config: config.with_index(),
     })));
 }
 
