Show refused texts on the status page

Cause: `Blackboard::refused_texts` is shown by `limpetctl status` and the admin page, but nothing wrote it, so an operator saw the old text go on without a reason.

Change: the installer writes a refused text with its first 20 problems, keeps the latest 8, and removes those that are not newer than a text put in force. A refused text newer than a valid one that a peer brings stays, because it is still the newest one of the service. The gauge `limpet_config_refused_texts` counts them.

Ruled out: spreading refusals by gossip. A node that did not read the service shows none; the readers of each zone do, and the text in force is the same everywhere.

Test: `control` an_invalid_text_is_refused_and_the_valid_one_stays_and_spreads now also waits for the refused text and for its removal; passes.

Conclusion: the reason of a refusal is visible on the nodes that read it.

--- a/crates/limpetshuntd/src/control/installer.rs
+++ b/crates/limpetshuntd/src/control/installer.rs
@@ -15,6 +15,10 @@
     Seen,
     Verdict, //
 };
+use limpet_types::{
+    Revision,
+    status::RefusedText, //
+};
 use ractor::{
     Actor,
     ActorProcessingErr,
@@ -33,6 +37,11 @@
 /// Problems of a refused text that are logged; the rest is counted.
 const PROBLEMS_LOGGED: usize = 3;
 
+/// Problems of a refused text that `/status` shows.
+const PROBLEMS_SHOWN: usize = 20;
+/// Refused texts that `/status` shows; the latest ones are kept.
+const REFUSED_TEXTS_MAX: usize = 8;
+
 /// What became of an offered text.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Outcome {
@@ -56,7 +65,7 @@
     },
 }
 
-/// The only writer of the configuration on the blackboard.
+/// The only writer of the configuration and of the refused texts on the blackboard.
 #[derive(Debug)]
 pub(super) struct Installer;
 
@@ -152,6 +161,10 @@
             config,
         })));
         self.publish_highest();
+        // A peer may bring a valid text older than one refused here; that one stays refused.
+        let mut refused = self.refused_texts();
+        refused.retain(|text| text.revision > revision);
+        self.publish_refused(refused);
         let _ = self
             .freshness
             .cast(FreshnessMessage::InForce { revision, limit });
@@ -178,9 +191,34 @@
             "revision refused: invalid"
         );
         count("invalid");
+        self.note_refused(revision, problems);
         Outcome::Invalid
     }
 
+    fn note_refused(&self, revision: Revision, problems: &[Problem]) {
+        let mut refused = self.refused_texts();
+        refused.retain(|text| text.revision != revision);
+        let shown = problems.iter().take(PROBLEMS_SHOWN);
+        refused.push(RefusedText {
+            revision,
+            problems: shown
+                .map(|problem| problem.to_string().into_boxed_str())
+                .collect(),
+        });
+        let excess = refused.len().saturating_sub(REFUSED_TEXTS_MAX);
+        refused.drain(..excess);
+        self.publish_refused(refused);
+    }
+
+    fn refused_texts(&self) -> Vec<RefusedText> {
+        self.shared.board.refused_texts.load().to_vec()
+    }
+
+    fn publish_refused(&self, refused: Vec<RefusedText>) {
+        metrics::gauge!("limpet_config_refused_texts").set(refused.len() as f64);
+        self.shared.board.refused_texts.store(Arc::new(refused));
+    }
+
     fn publish_highest(&self) {
         let highest = self.revisions.highest();
         self.shared.highest_judged.store(highest, Ordering::Release);
--- a/crates/limpetshuntd/tests/control.rs
+++ b/crates/limpetshuntd/tests/control.rs
@@ -162,8 +162,22 @@
         nodes.iter().all(|n| n.is_serving() && n.is_fresh())
     })
     .await;
+    // An operator who is not told sees the old text go on and no reason for it.
+    let refused = |node: &Node| node.context.board.refused_texts.load_full();
+    until("a node shows the refused text", || {
+        nodes.iter().any(|node| !refused(node).is_empty())
+    })
+    .await;
+    for text in nodes.iter().flat_map(|node| refused(node).to_vec()) {
+        assert_eq!(text.revision, 2);
+        assert!(text.problems[0].contains("vms_max"), "{text:?}");
+    }
     stack.platform.set_text(&text(9));
     all_have(&nodes, 3).await;
+    until("the refused text is no longer shown", || {
+        nodes.iter().all(|node| refused(node).is_empty())
+    })
+    .await;
     stop_all(nodes).await;
 }
 
