Make the parts of a Config read-only

Cause: `Config` had public fields beside a private index. A field changed after the index was built gave wrong look-ups, for example a revoked API key that still worked; tests called `with_index` again to avoid it.

Change: the sections are in `ConfigParts`. `Config` derefs to it without `DerefMut`, so fields are read as before and cannot be written. `Config::change` changes parts and builds the look-ups again; `Config::new` builds them at once and `with_index` is gone.

Ruled out: read methods of the same names.

Test: a_change_of_the_parts_builds_the_look_ups_again; a compile_fail example on the type. limpet-config, entry_access, lease and relay tests pass.

Conclusion: look-ups always agree with the parts.

--- a/crates/limpet-config/src/lib.rs
+++ b/crates/limpet-config/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub use model::{
     Config,
+    ConfigParts,
     FRESHNESS_LIMIT_DEFAULT,
     Fleet,
     Lookup,
--- a/crates/limpet-config/src/model/config.rs
+++ b/crates/limpet-config/src/model/config.rs
@@ -1,8 +1,11 @@
 //! The whole compiled text.
 
+use std::ops::Deref;
+
 use limpet_types::TargetAddr;
 
 use crate::model::{
+    ConfigParts,
     Fleet,
     Lookup,
     Service,
@@ -28,23 +31,31 @@
 }
 
 /// A checked text in compiled form.
+///
+/// The fields of [`ConfigParts`] can be read through it, `config.teams`, but not written, because the
+/// look-ups are built from them; [`Self::change`] builds the look-ups again.
+///
+/// ```compile_fail
+/// # fn change(mut config: limpet_config::Config) {
+/// config.teams.clear();
+/// # }
+/// ```
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
-    /// Figures of the fleet.
-    pub fleet: Fleet,
-    /// Zones.
-    pub zones: Vec<Zone>,
-    /// Teams.
-    pub teams: Vec<Team>,
-    /// Services.
-    pub services: Vec<Service>,
-    /// Lookups.
-    pub lookups: Vec<Lookup>,
-    pub(crate) index: Index,
+    parts: ConfigParts,
+    index: Index,
+}
+
+impl Deref for Config {
+    type Target = ConfigParts;
+
+    fn deref(&self) -> &ConfigParts {
+        &self.parts
+    }
 }
 
 impl Config {
-    /// Creates the form without look-ups; [`Self::with_index`] adds them.
+    /// Creates the form and builds the look-ups.
     pub fn new(
         fleet: Fleet,
         zones: Vec<Zone>,
@@ -52,20 +63,30 @@
         services: Vec<Service>,
         lookups: Vec<Lookup>,
     ) -> Self {
-        Self {
+        let parts = ConfigParts {
             fleet,
             zones,
             teams,
             services,
             lookups,
-            index: Index::default(),
-        }
+        };
+        let index = Index::new(&parts);
+        Self { parts, index }
     }
 
-    /// Builds the index; called once when every check has passed.
-    pub fn with_index(mut self) -> Self {
-        self.index = Index::new(&self);
-        self
+    /// Changes parts and builds the look-ups again.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use limpet_config::Config;
+    /// let mut config = Config::parse("fleet.vms_max = 8").unwrap();
+    /// config.change(|parts| parts.fleet.vms_max = 9);
+    /// assert_eq!(config.fleet.vms_max, 9);
+    /// ```
+    pub fn change(&mut self, change: impl FnOnce(&mut ConfigParts)) {
+        change(&mut self.parts);
+        self.index = Index::new(&self.parts);
     }
 
     /// Returns a service by name.
--- a/crates/limpet-config/src/model/index.rs
+++ b/crates/limpet-config/src/model/index.rs
@@ -5,7 +5,7 @@
 use limpet_types::TargetAddr;
 
 use crate::model::{
-    Config,
+    ConfigParts,
     keys::Keys, //
 };
 
@@ -17,7 +17,7 @@
     pub(crate) replica: usize,
 }
 
-/// Positions in the vectors of a [`Config`].
+/// Positions in the vectors of a [`ConfigParts`].
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Index {
     pub(crate) services: HashMap<Box<str>, usize>,
@@ -28,7 +28,7 @@
 }
 
 impl Index {
-    pub(crate) fn new(config: &Config) -> Self {
+    pub(crate) fn new(config: &ConfigParts) -> Self {
         let mut targets = HashMap::new();
         for (service, s) in config.services.iter().enumerate() {
             for (shard, s) in s.shards.iter().enumerate() {
--- a/crates/limpet-config/src/model/mod.rs
+++ b/crates/limpet-config/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! Compiled form of the operators' text.
 
 mod config;
+mod config_parts;
 mod fleet;
 mod index;
 mod keys;
@@ -15,6 +16,7 @@
     Config,
     TargetSite, //
 };
+pub use config_parts::ConfigParts;
 pub use fleet::{
     FRESHNESS_LIMIT_DEFAULT,
     Fleet, //
--- a/crates/limpet-config/src/parse/text.rs
+++ b/crates/limpet-config/src/parse/text.rs
@@ -54,7 +54,7 @@
         }
         let config = parse_document(&mut report, document.get_ref());
         match config {
-            Some(config) if report.is_empty() => Ok(config.with_index()),
+            Some(config) if report.is_empty() => Ok(config),
             _ => Err(report.into_problems(text)),
         }
     }
--- a/crates/limpet-config/tests/lookups.rs
+++ b/crates/limpet-config/tests/lookups.rs
@@ -160,3 +160,15 @@
         }
     }
 }
+
+/// A key revoked in the parts alone would still be found by the look-up.
+#[test]
+fn a_change_of_the_parts_builds_the_look_ups_again() {
+    let text = format!("fleet.vms_max = 8\n{}", team("t", &["k"]));
+    let mut config = Config::parse(&text).unwrap();
+    assert!(config.team_by_key(b"k").is_some() && config.team("t").is_some());
+    config.change(|parts| parts.teams[0].key_digests.clear());
+    assert!(config.team_by_key(b"k").is_none() && config.team("t").is_some());
+    config.change(|parts| parts.teams.clear());
+    assert!(config.team("t").is_none());
+}
--- a/crates/limpetshuntd/examples/entry_measure.rs
+++ b/crates/limpetshuntd/examples/entry_measure.rs
@@ -95,7 +95,7 @@
         })
     };
     let mut config = config(shards, 3);
-    config.services[0].hedge = hedge;
+    config.change(|parts| parts.services[0].hedge = hedge);
     let handlers = (0..3).map(|_| relay()).collect();
     Fleet::start(config, handlers, EntryLimits::default()).await
 }
--- a/crates/limpetshuntd/examples/relay_cost.rs
+++ b/crates/limpetshuntd/examples/relay_cost.rs
@@ -165,7 +165,7 @@
         name: "a".into(),
         state: ZoneState::In,
     }];
-    let config = Config::new(fleet, zones, Vec::new(), vec![service], Vec::new()).with_index();
+    let config = Config::new(fleet, zones, Vec::new(), vec![service], Vec::new());
     context.board.config.store(Some(Arc::new(InForce {
         revision: 1,
         digest: [0; 32],
--- a/crates/limpetshuntd/tests/entry_access.rs
+++ b/crates/limpetshuntd/tests/entry_access.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use limpet_config::{
     Config,
+    ConfigParts,
     Lookup,
     ZoneState, //
 };
@@ -70,7 +71,7 @@
 
 fn without_keys_of_a() -> Config {
     let mut config = config(2, 1);
-    config.teams[0].key_digests.clear();
+    config.change(|parts| parts.teams[0].key_digests.clear());
     config
 }
 
@@ -144,9 +145,9 @@
     });
 }
 
-fn changed(fleet: &Fleet, change: impl FnOnce(&mut Config)) {
+fn changed(fleet: &Fleet, change: impl FnOnce(&mut ConfigParts)) {
     let mut config = config(2, 1);
-    change(&mut config);
+    config.change(change);
     install(&fleet.board, config);
 }
 
--- a/crates/limpetshuntd/tests/lease.rs
+++ b/crates/limpetshuntd/tests/lease.rs
@@ -146,7 +146,7 @@
         vms_max: 3,
         freshness_limit: Duration::from_secs(4),
     };
-    let config = Config::new(fleet, Vec::new(), vec![team], vec![service], Vec::new()).with_index();
+    let config = Config::new(fleet, Vec::new(), vec![team], vec![service], Vec::new());
     InForce {
         revision: 1,
         digest: [0; 32],
--- a/crates/limpetshuntd/tests/relay/harness.rs
+++ b/crates/limpetshuntd/tests/relay/harness.rs
@@ -142,7 +142,7 @@
             name: "a".into(),
             state: zone,
         }];
-        let config = Config::new(fleet, zones, Vec::new(), vec![service], Vec::new()).with_index();
+        let config = Config::new(fleet, zones, Vec::new(), vec![service], Vec::new());
         let revision = self.context.board.in_force().map_or(1, |f| f.revision + 1);
         self.context.board.config.store(Some(Arc::new(InForce {
             revision,
--- a/crates/limpetshuntd/tests/support/mod.rs
+++ b/crates/limpetshuntd/tests/support/mod.rs
@@ -201,7 +201,7 @@
         lookup("record", AttemptKind::Record),
         lookup("order", AttemptKind::Order),
     ];
-    Config::new(fleet, zones, teams, vec![service], lookups).with_index()
+    Config::new(fleet, zones, teams, vec![service], lookups)
 }
 
 /// An entry that serves callers, with the relays that it asks.
@@ -278,8 +278,7 @@
         revision: 1,
         digest: [0; 32],
         text: "".into(),
-        // Tests change fields of a compiled form, so its look-ups are built again.
-        config: config.with_index(),
+        config,
     })));
 }
 
