End the stand-ins with 0 at SIGTERM

Cause: fake-target and fake-platform handled SIGINT only, so a planned stop ended them with 143, the same as a kill, and the demo accepted both.

Change: both programs wait for SIGINT or SIGTERM and exit 0.

Test: limpet-fakes/tests/signals.rs, 4 cases, passes.

Conclusion: a bad exit of a stand-in now fails the demo.

--- a/crates/limpet-fakes/src/bin/fake-platform.rs
+++ b/crates/limpet-fakes/src/bin/fake-platform.rs
@@ -18,9 +18,12 @@
 };
 
 use clap::Parser;
-use limpet_fakes::platform::{
-    FakeVm,
-    Platform, //
+use limpet_fakes::{
+    platform::{
+        FakeVm,
+        Platform, //
+    },
+    stop_signal, //
 };
 
 /// Exit code for settings that cannot be used.
@@ -79,13 +82,14 @@
     }
     let frontend = platform.open(settings.addr).await?;
     tracing::info!(addr = %frontend.addr(), "serving");
+    let mut stop = std::pin::pin!(stop_signal()?);
     let mut ticks = tokio::time::interval(FILE_INTERVAL);
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
-            result = tokio::signal::ctrl_c() => {
+            () = &mut stop => {
                 frontend.stop().await;
-                return result;
+                return Ok(());
             }
         }
         let Some(path) = &settings.text else { continue };
--- a/crates/limpet-fakes/src/bin/fake-target.rs
+++ b/crates/limpet-fakes/src/bin/fake-target.rs
@@ -8,10 +8,13 @@
 };
 
 use clap::Parser;
-use limpet_fakes::target::{
-    FakeTarget,
-    TargetSpec,
-    serve_control, //
+use limpet_fakes::{
+    stop_signal,
+    target::{
+        FakeTarget,
+        TargetSpec,
+        serve_control, //
+    },
 };
 use tokio::net::TcpListener;
 
@@ -87,6 +90,7 @@
 }
 
 async fn serve(args: &Args, specs: Vec<TargetSpec>) -> std::io::Result<()> {
+    let stop = stop_signal()?;
     let mut targets = Vec::with_capacity(specs.len());
     for spec in specs {
         targets.push(FakeTarget::start(spec).await?);
@@ -96,6 +100,6 @@
     tracing::info!(control = %addr, targets = targets.len(), "serving");
     tokio::select! {
         () = serve_control(control, Arc::new(targets)) => Ok(()),
-        ended = tokio::signal::ctrl_c() => ended,
+        () = stop => Ok(()),
     }
 }
--- /dev/null
+++ b/crates/limpet-fakes/src/stop_signal.rs
@@ -0,0 +1,24 @@
+//! End of the programs of this crate.
+
+use std::io;
+
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+
+/// Installs handlers and returns a future that is done at the first SIGINT or SIGTERM.
+///
+/// # Errors
+///
+/// Fails when a handler cannot be installed.
+pub fn stop_signal() -> io::Result<impl Future<Output = ()>> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    Ok(async move {
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+    })
+}
--- /dev/null
+++ b/crates/limpet-fakes/tests/signals.rs
@@ -0,0 +1,44 @@
+//! Guards against a stand-in whose planned stop looks like a crash.
+
+use std::{
+    io::{
+        BufRead,
+        BufReader, //
+    },
+    process::{
+        Command,
+        Stdio, //
+    },
+};
+
+const PLATFORM: (&str, &[&str]) = (
+    env!("CARGO_BIN_EXE_fake-platform"),
+    &["--addr", "127.0.0.1:0"],
+);
+const TARGET: (&str, &[&str]) = (
+    env!("CARGO_BIN_EXE_fake-target"),
+    &["--listen", "127.0.0.1:0"],
+);
+
+limpet_testkit::cases! {
+    exits_0:
+    platform_at_sigterm => (PLATFORM, "-TERM"),
+    platform_at_sigint => (PLATFORM, "-INT"),
+    target_at_sigterm => (TARGET, "-TERM"),
+    target_at_sigint => (TARGET, "-INT"),
+}
+
+fn exits_0(((program, flags), signal): ((&str, &[&str]), &str)) {
+    let mut child = Command::new(program)
+        .args(flags)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let log = BufReader::new(child.stderr.take().unwrap());
+    let is_serving = log.lines().any(|line| line.unwrap().contains("serving"));
+    assert!(is_serving, "it ended before it served");
+    let id = child.id().to_string();
+    let sent = Command::new("kill").args([signal, &id]).status().unwrap();
+    assert!(sent.success());
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -204,9 +204,8 @@
 for ((i = 0; i < vms; i++)); do
     stop "relay-$i" 0
 done
-# The stand-ins have no work to finish; 143 is the default end by SIGTERM.
-stop platform "0 143"
-stop targets "0 143"
+stop platform 0
+stop targets 0
 
 if ((failures > 0)); then
     echo "demo: $failures failures" >&2
