Accept a burst of 1

Cause: a burst below the 4 lease groups was refused, although `split_limit` deals out whole tokens and gives rate only to the groups that have a token.

Change: `burst` is at least 1.

Conclusion: small teams can be described as they are. A team with a burst of 1 gets no token while the coordinator of its group is missing.

--- a/crates/limpet-config/src/parse/teams.rs
+++ b/crates/limpet-config/src/parse/teams.rs
@@ -1,7 +1,5 @@
 //! Teams and their API keys.
 
-use limpet_types::hash::LEASE_GROUPS;
-
 use crate::{
     Team,
     parse::{
@@ -20,8 +18,8 @@
 
 /// Parses every team.
 ///
-/// A burst is split over the lease groups, so a burst below their number could never give a whole
-/// token; it is refused.
+/// A burst below the number of lease groups is valid: whole tokens are dealt out, and only the groups
+/// that got one grant tokens.
 pub(super) fn parse_teams(report: &mut Report, root: &Fields<'_, '_>) -> Vec<Team> {
     let known = ["name", "rate_per_s", "burst", "weight", "key_digests"];
     let mut names = Unique::new("team name");
@@ -31,7 +29,7 @@
         let name = fields.name(report);
         let owner = name.as_ref().map_or("", |name| name.text);
         let rate_per_s = fields.positive(report, "rate_per_s", RATE_MAX as f64);
-        let burst = fields.integer(report, "burst", u64::from(LEASE_GROUPS)..=RATE_MAX, None);
+        let burst = fields.integer(report, "burst", 1..=RATE_MAX, None);
         let weight = fields.integer(report, "weight", 1..=WEIGHT_MAX, Some(1));
         let mut key_digests = Vec::new();
         for digest in fields.strings(report, "key_digests") {
