Let a starting node join the fleet in an outage

Cause: a starting node never served while the configuration service was down for everybody, so VMs replaced during a long outage were lost to the fleet.

Change: a starting node serves if the outage exception holds by its own failed read, its own VM list and its own calls, and a listed peer whose last contact was an answer has the same revision and tells an age of evidence. A starting process tells none, so starting processes cannot confirm each other. No message changes.

Ruled out: trusting the peer's word that it is fresh (a new field, and the node can check the exception itself); joining without such a peer, because nodes that all read a stale service before it went down would agree.

Conclusion: replacements work during an outage as long as one node that was up before is left.

--- a/crates/limpet-decide/src/freshness/evidence.rs
+++ b/crates/limpet-decide/src/freshness/evidence.rs
@@ -171,7 +171,20 @@
             })
         };
         self.revision > 0
-            && (is_recent(self.heard_at) || (is_recent(self.read_at) && is_alone_or_met_all()))
+            && (is_recent(self.heard_at)
+                || (is_recent(self.read_at) && is_alone_or_met_all())
+                || self.joins_outage(now))
+    }
+
+    /// Returns whether the service is down for everybody and a listed peer that was up before has the
+    /// same text.
+    ///
+    /// Without that peer, starting processes that all read a stale service before it went down would
+    /// confirm each other.
+    fn joins_outage(&self, now: Duration) -> bool {
+        let has_same_text = |view: &PeerView| view.was_up_with(self.revision);
+        self.outage_until().is_some_and(|until| now < until)
+            && self.peers.values().any(has_same_text)
     }
 
     /// Returns up to `count` listed peers to ask next, those asked longest ago first.
--- a/crates/limpet-decide/src/freshness/peer_view.rs
+++ b/crates/limpet-decide/src/freshness/peer_view.rs
@@ -41,6 +41,16 @@
         agrees.then_some(at + limit)
     }
 
+    /// Returns whether the peer's last contact was an answer with this revision and some evidence, which
+    /// a starting process never tells.
+    pub(super) fn was_up_with(&self, revision: Revision) -> bool {
+        self.answered.is_some_and(|(at, answer)| {
+            self.refused_at <= Some(at)
+                && answer.revision == revision
+                && answer.freshness_age.is_some()
+        })
+    }
+
     /// Returns whether the peer ever answered or was found to be gone.
     pub(super) const fn is_known(&self) -> bool {
         self.answered.is_some() || self.refused_at.is_some()
--- a/crates/limpet-decide/tests/freshness.rs
+++ b/crates/limpet-decide/tests/freshness.rs
@@ -128,6 +128,73 @@
     assert_eq!(freshness.may_start(at(11_000)), expected);
 }
 
+fn joins(first_age: Option<u64>, second: PeerAnswer) -> Freshness {
+    let mut freshness = Freshness::new(LIMIT);
+    freshness.put_in_force(5, LIMIT);
+    freshness.note_listed(vec![peer(1), peer(2)]);
+    freshness.note_read_failed(at(59_000));
+    freshness.note_answer(peer(1), at(59_000), answer(5, Unreachable, first_age));
+    freshness.note_answer(peer(2), at(59_000), second);
+    freshness
+}
+
+const STARTING: PeerAnswer = PeerAnswer {
+    revision: 5,
+    reachability: Unreachable,
+    freshness_age: None,
+};
+
+type Join = fn() -> Freshness;
+
+// The peer's evidence is 50 s old: it serves under the outage exception.
+limpet_testkit::cases! {
+    may_join_an_outage_at_60_s:
+    one_peer_was_up => (|| joins(Some(50_000), STARTING), true),
+    two_starting_processes_do_not_confirm_each_other => (|| joins(None, STARTING), false),
+    the_peer_that_was_up_has_an_older_text => (|| {
+        joins(None, PeerAnswer { revision: 4, freshness_age: Some(at(50_000)), ..STARTING })
+    }, false),
+    another_peer_has_a_newer_text => (|| {
+        joins(Some(50_000), PeerAnswer { revision: 6, ..STARTING })
+    }, false),
+    another_peer_reads_the_service => (|| {
+        joins(Some(50_000), PeerAnswer { reachability: Reachable, ..STARTING })
+    }, false),
+    another_peer_is_silent => (|| {
+        let mut freshness = joins(Some(50_000), STARTING);
+        freshness.note_listed(vec![peer(1), peer(2), peer(3)]);
+        freshness
+    }, false),
+    the_peer_that_was_up_is_gone => (|| {
+        let mut freshness = joins(Some(50_000), STARTING);
+        freshness.note_refused(peer(1), at(59_500));
+        freshness
+    }, false),
+    the_list_is_empty => (|| {
+        let mut freshness = joins(Some(50_000), STARTING);
+        freshness.note_listed(Vec::new());
+        freshness
+    }, false),
+    the_service_was_not_tried => (|| {
+        let mut freshness = Freshness::new(LIMIT);
+        freshness.put_in_force(5, LIMIT);
+        freshness.note_listed(vec![peer(1)]);
+        freshness.note_answer(peer(1), at(59_000), answer(5, Unreachable, Some(50_000)));
+        freshness
+    }, false),
+}
+
+fn may_join_an_outage_at_60_s((join, expected): (Join, bool)) {
+    assert_eq!(join().may_start(at(60_000)), expected);
+}
+
+#[test]
+fn an_outage_is_joined_only_while_its_evidence_lasts() {
+    let freshness = joins(Some(50_000), STARTING);
+    assert!(freshness.may_start(at(62_999)));
+    assert!(!freshness.may_start(at(63_000)));
+}
+
 #[test]
 fn nothing_is_fresh_without_a_text() {
     let mut freshness = Freshness::new(LIMIT);
--- a/crates/limpetshuntd/tests/control.rs
+++ b/crates/limpetshuntd/tests/control.rs
@@ -197,6 +197,53 @@
     stop_all(vec![node, silent]).await;
 }
 
+/// 2,900 VMs a day are replaced; without this a long outage would use the fleet up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_starts_in_an_outage_for_all_serves_with_the_fleet() {
+    let (stack, mut nodes) = serving((81, 13), 3).await;
+    for node in &nodes {
+        node.service.set_down(true);
+    }
+    tokio::time::sleep(LIMIT * 2).await;
+    assert!(nodes.iter().all(Node::is_fresh));
+    stack.list(0..4);
+    nodes.push(stack.start_in(3, Role::Relay, true).await);
+    let took = until("the new node serves", || nodes[3].is_serving()).await;
+    println!("a node started in an outage serves after {took:?}");
+    until("all fresh", || nodes.iter().all(Node::is_fresh)).await;
+    assert_eq!(nodes[3].revision(), 1);
+    stop_all(nodes).await;
+}
+
+/// Both may have read the same old value before the service went down.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_that_all_start_in_an_outage_do_not_serve() {
+    let stack = Stack::new((81, 14), 1).await;
+    stack.platform.set_text(&text(2));
+    // A silent listed peer keeps both from starting while they can read the service.
+    stack.list(0..3);
+    let mut nodes = Vec::new();
+    for vm in 0..3 {
+        nodes.push(stack.start(vm, Role::Relay).await);
+        stack.cut(&[&nodes[0]]);
+    }
+    all_have(&nodes, 1).await;
+    for node in &nodes {
+        node.service.set_down(true);
+    }
+    // Their reads of the service are too old after the limit.
+    tokio::time::sleep(LIMIT + SLACK).await;
+    stack.list(1..3);
+    let agree = || nodes[1..].iter().all(Node::is_fresh);
+    until("both find the service down for everybody", agree).await;
+    tokio::time::sleep(SLACK).await;
+    assert!(
+        !nodes.iter().any(Node::is_serving),
+        "nothing shows that the text is current"
+    );
+    stop_all(nodes).await;
+}
+
 /// Control traffic at the design size would exceed 8 KB/s if an idle exchange grew.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_idle_exchange_stays_small() {
--- a/crates/limpetshuntd/tests/stack/mod.rs
+++ b/crates/limpetshuntd/tests/stack/mod.rs
@@ -143,7 +143,13 @@
     }
 
     pub(crate) async fn start(&self, vm: usize, role: Role) -> Node {
+        self.start_in(vm, role, false).await
+    }
+
+    /// Starts a node, with the configuration service down for it from the beginning if so asked.
+    pub(crate) async fn start_in(&self, vm: usize, role: Role, is_service_down: bool) -> Node {
         let service = self.platform.open(any_port()).await.unwrap();
+        service.set_down(is_service_down);
         let (name, port) = match role {
             Role::Entry => ("entry", self.ports.0),
             Role::Relay => ("relay", self.ports.1),
