Give starting nodes the strikes before they serve

Change: a reply to a node in phase Starting has up to 16 older strikes. The strikes of a reply are merged before it counts as evidence, so a node that starts by a reply has them before it serves. The test starts and cuts the silent node first and checks the two others, as its name says.

Ruled out: a longer limit in the test, which would have hidden the gap; all 64 strikes to starting nodes, up to 138 KB/s during a long start.

--- a/crates/limpetshuntd/src/control/exchange.rs
+++ b/crates/limpetshuntd/src/control/exchange.rs
@@ -14,7 +14,7 @@
     },
 };
 use limpet_types::{
-    NodeRecord, Revision,
+    NodeRecord, Phase, Revision,
     message::{
         ConfigText,
         GossipReply,
@@ -52,6 +52,9 @@
 /// Newest strikes among which messages choose; a reply has one of the older ones among them, for nodes
 /// that missed the news.
 const STRIKES_MAX: usize = 64;
+/// Older strikes in a reply to a starting node. It asks up to 18 peers in a round, so all of them would
+/// be 138 KB/s for a node whose start takes long.
+const STRIKES_AT_START_MAX: usize = 16;
 
 /// Builds a request; `push` adds the text in force, if it is small.
 pub(super) fn request(shared: &Shared, push: bool) -> GossipRequest {
@@ -73,6 +76,7 @@
 /// Answers a request; also returns whether the sender has a newer revision that it did not push.
 pub(super) async fn answer(links: &Links, request: GossipRequest) -> (GossipReply, bool) {
     let shared = &links.shared;
+    let is_starting = request.sender.phase == Phase::Starting;
     hear(links, request.sender, request.records);
     hear_strikes(shared, &request.strikes);
     if let Some((revision, digest, text)) = request.push {
@@ -93,7 +97,7 @@
         freshness_age: shared.freshness_age(),
         reachability: shared.evidence.load().reachability,
         records: sample(shared),
-        strikes: strikes_in_reply(shared, request.revision),
+        strikes: strikes_in_reply(shared, is_starting),
     };
     (reply, request.revision > revision)
 }
@@ -154,15 +158,13 @@
     sample_strikes(&strikes(shared).0, STRIKE_NEWS_MAX)
 }
 
-/// Returns a few news and one older strike; an asker without a text, which has just started, gets all.
-fn strikes_in_reply(shared: &Shared, revision_of_asker: Revision) -> Vec<Strike> {
-    let (mut news, older) = strikes(shared);
-    if revision_of_asker == 0 {
-        news.extend(older);
-        return news;
-    }
+/// Returns a few news and one older strike; more of the older ones for a starting node, which would
+/// otherwise serve before it has them.
+fn strikes_in_reply(shared: &Shared, is_starting: bool) -> Vec<Strike> {
+    let (news, older) = strikes(shared);
+    let older_max = if is_starting { STRIKES_AT_START_MAX } else { 1 };
     let mut sample = sample_strikes(&news, STRIKE_NEWS_MAX);
-    sample.extend(sample_strikes(&older, 1));
+    sample.extend(sample_strikes(&older, older_max));
     sample
 }
 
--- a/crates/limpetshuntd/tests/control.rs
+++ b/crates/limpetshuntd/tests/control.rs
@@ -222,10 +222,11 @@
     stack.platform.set_text(&text(2));
     // A silent listed peer keeps both from starting while they can read the service.
     stack.list(0..3);
+    let silent = stack.start(0, Role::Relay).await;
+    stack.cut(&[&silent]);
     let mut nodes = Vec::new();
-    for vm in 0..3 {
+    for vm in 1..3 {
         nodes.push(stack.start(vm, Role::Relay).await);
-        stack.cut(&[&nodes[0]]);
     }
     all_have(&nodes, 1).await;
     for node in &nodes {
@@ -234,13 +235,14 @@
     // Their reads of the service are too old after the limit.
     tokio::time::sleep(LIMIT + SLACK).await;
     stack.list(1..3);
-    let agree = || nodes[1..].iter().all(Node::is_fresh);
+    let agree = || nodes.iter().all(Node::is_fresh);
     until("both find the service down for everybody", agree).await;
     tokio::time::sleep(SLACK).await;
     assert!(
         !nodes.iter().any(Node::is_serving),
         "nothing shows that the text is current"
     );
+    nodes.push(silent);
     stop_all(nodes).await;
 }
 
