--- a/crates/limpetshuntd/tests/control.rs
+++ b/crates/limpetshuntd/tests/control.rs
@@ -10,6 +10,7 @@
     },
 };
 
+use limpet_decide::quarantine::Verdict;
 use limpet_types::{
     Phase,
     Role, //
@@ -161,8 +162,22 @@
         nodes.iter().all(|n| n.is_serving() && n.is_fresh())
     })
     .await;
+    // An operator who is not told sees the old text go on and no reason for it.
+    let refused = |node: &Node| node.context.board.refused_texts.load_full();
+    until("a node shows the refused text", || {
+        nodes.iter().any(|node| !refused(node).is_empty())
+    })
+    .await;
+    for text in nodes.iter().flat_map(|node| refused(node).to_vec()) {
+        assert_eq!(text.revision, 2);
+        assert!(text.problems[0].contains("vms_max"), "{text:?}");
+    }
     stack.platform.set_text(&text(9));
     all_have(&nodes, 3).await;
+    until("the refused text is no longer shown", || {
+        nodes.iter().all(|node| refused(node).is_empty())
+    })
+    .await;
     stop_all(nodes).await;
 }
 
@@ -182,6 +197,55 @@
     stop_all(vec![node, silent]).await;
 }
 
+/// 2,900 VMs a day are replaced; without this a long outage would use the fleet up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_starts_in_an_outage_for_all_serves_with_the_fleet() {
+    let (stack, mut nodes) = serving((81, 13), 3).await;
+    for node in &nodes {
+        node.service.set_down(true);
+    }
+    tokio::time::sleep(LIMIT * 2).await;
+    assert!(nodes.iter().all(Node::is_fresh));
+    stack.list(0..4);
+    nodes.push(stack.start_in(3, Role::Relay, true).await);
+    let took = until("the new node serves", || nodes[3].is_serving()).await;
+    println!("a node started in an outage serves after {took:?}");
+    until("all fresh", || nodes.iter().all(Node::is_fresh)).await;
+    assert_eq!(nodes[3].revision(), 1);
+    stop_all(nodes).await;
+}
+
+/// Both may have read the same old value before the service went down.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_that_all_start_in_an_outage_do_not_serve() {
+    let stack = Stack::new((81, 14), 1).await;
+    stack.platform.set_text(&text(2));
+    // A silent listed peer keeps both from starting while they can read the service.
+    stack.list(0..3);
+    let silent = stack.start(0, Role::Relay).await;
+    stack.cut(&[&silent]);
+    let mut nodes = Vec::new();
+    for vm in 1..3 {
+        nodes.push(stack.start(vm, Role::Relay).await);
+    }
+    all_have(&nodes, 1).await;
+    for node in &nodes {
+        node.service.set_down(true);
+    }
+    // Their reads of the service are too old after the limit.
+    tokio::time::sleep(LIMIT + SLACK).await;
+    stack.list(1..3);
+    let agree = || nodes.iter().all(Node::is_fresh);
+    until("both find the service down for everybody", agree).await;
+    tokio::time::sleep(SLACK).await;
+    assert!(
+        !nodes.iter().any(Node::is_serving),
+        "nothing shows that the text is current"
+    );
+    nodes.push(silent);
+    stop_all(nodes).await;
+}
+
 /// Control traffic at the design size would exceed 8 KB/s if an idle exchange grew.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_idle_exchange_stays_small() {
@@ -282,3 +346,49 @@
     assert!(nodes.iter().all(Node::is_fresh));
     stop_all(nodes).await;
 }
+
+/// A poison request costs two targets of every relay that has not heard of its strikes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn strikes_reach_other_nodes_within_a_second_and_later_ones_at_their_start() {
+    const POISON: u64 = 7;
+    let (stack, mut nodes) = serving((81, 11), 8).await;
+    let is_quarantined = |node: &Node| {
+        let board = &node.context.board;
+        board.strikes().verdict(POISON, board.now()) == Verdict::Quarantined
+    };
+    let board = &nodes[0].context.board;
+    let now = board.now();
+    board.strikes().record_crash(1, &[POISON, 8], now);
+    board.strikes().record_crash(2, &[POISON], now);
+    let first = until("one node heard", || nodes[1..].iter().any(is_quarantined)).await;
+    let rest = until("all nodes heard", || nodes.iter().all(is_quarantined)).await;
+    println!("strikes reached one of 8 nodes after {first:?}, all after {rest:?} more");
+    assert!(first <= Duration::from_secs(1), "{first:?}");
+    assert!(first + rest <= Duration::from_secs(1) + SLACK, "{rest:?}");
+    // Later than the time for which strikes go with every message.
+    tokio::time::sleep(Duration::from_millis(5_500)).await;
+    stack.list(0..9);
+    nodes.push(stack.start(8, Role::Relay).await);
+    until("the new node serves", || nodes[8].is_serving()).await;
+    let late = until("the new node heard", || is_quarantined(&nodes[8])).await;
+    println!("a new node has the strikes {late:?} after it serves");
+    assert!(late <= Duration::from_secs(1), "{late:?}");
+    stop_all(nodes).await;
+}
+
+/// Strikes live ten minutes; sent whole they would exceed the budget of 8 KB/s all that time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_message_carries_few_strikes() {
+    let (stack, nodes) = serving((81, 12), 3).await;
+    let board = &nodes[0].context.board;
+    let fingerprints: Vec<u64> = (0..1_000).map(|n| u64::MAX - n).collect();
+    board.strikes().record_crash(1, &fingerprints, board.now());
+    let reply_bytes = || stack.traffic.reply_bytes.load(Ordering::Relaxed);
+    let exchanges = || stack.traffic.exchanges.load(Ordering::Relaxed);
+    let before = (exchanges(), reply_bytes());
+    until("enough exchanges", || exchanges() >= before.0 + 100).await;
+    let each = (reply_bytes() - before.1) / (exchanges() - before.0);
+    println!("reply with news of 1,000 strikes: {each} bytes");
+    assert!(each <= 300, "{each} bytes");
+    stop_all(nodes).await;
+}
