Send the record key and the ticket to the target

Cause: the record key of a record or order lookup chose the shard and was then dropped, so a target could not know which record was asked for. The poison fingerprint left it out too: one crashing record would have quarantined every record with the same body.

Change: AttemptRequest and TargetRequest carry the record of a record or order and the ticket of an order, sent as x-record and x-ticket. The fingerprint includes the record. The stand-in target names the record in its body and in its event list.

Ruled out: sending x-record with a search that the caller marked with the header; it would give equal searches different fingerprints.

With the record left out of the fingerprint again the test each_record_has_a_fingerprint_of_its_own fails; with it, 28 tests of the touched test files pass.

--- a/crates/limpet-adapters/src/target/request.rs
+++ b/crates/limpet-adapters/src/target/request.rs
@@ -31,7 +31,11 @@
     pub snapshot: Option<IndexVersion>,
     /// Time left for the target.
     pub time_left: Duration,
-    /// Query or record.
+    /// Record key of a record or an order.
+    pub record: Option<Box<str>>,
+    /// Ticket of an order, which lets the target recognise a repetition.
+    pub ticket: Option<Box<str>>,
+    /// Query.
     pub body: Bytes,
 }
 
@@ -53,6 +57,12 @@
         if let Some(version) = self.snapshot {
             builder = builder.header("x-index-version", version);
         }
+        if let Some(record) = &self.record {
+            builder = builder.header("x-record", &**record);
+        }
+        if let Some(ticket) = &self.ticket {
+            builder = builder.header("x-ticket", &**ticket);
+        }
         builder.body(Full::new(self.body.clone()))
     }
 }
--- a/crates/limpet-adapters/tests/target.rs
+++ b/crates/limpet-adapters/tests/target.rs
@@ -38,6 +38,8 @@
         range: KeyRange::full(),
         snapshot,
         time_left: LIMIT,
+        record: None,
+        ticket: None,
         body: Bytes::from_static(b"body"),
     }
 }
@@ -68,6 +70,22 @@
     target.stop().await;
 }
 
+#[tokio::test]
+async fn a_target_learns_the_record_and_the_ticket() {
+    let target = FakeTarget::start(TargetSpec::new("a")).await.unwrap();
+    let connection = TargetConnection::open(target.addr(), LIMIT).await.unwrap();
+    let mut request = request(None);
+    request.record = Some("plank-7".into());
+    request.ticket = Some("ticket-9".into());
+    let (response, _) = connection.send(&request).await;
+    let body = response.unwrap().body;
+    assert!(body.ends_with(b":plank-7"), "the body names another record");
+    let event = &target.events()[0];
+    assert_eq!(event.record.as_deref(), Some("plank-7"));
+    assert_eq!(event.ticket.as_deref(), Some("ticket-9"));
+    target.stop().await;
+}
+
 struct Failing {
     fault: Option<Fault>,
     snapshot: Option<u64>,
--- a/crates/limpet-fakes/src/target/answer.rs
+++ b/crates/limpet-fakes/src/target/answer.rs
@@ -82,12 +82,14 @@
         value.unwrap_or_default().into()
     };
     let (request_id, attempt) = (header("x-request-id"), header("x-attempt"));
+    let record = header("x-record");
     let path = request.uri().path().to_owned();
     let event = Event {
         request: request_id.clone(),
         attempt: attempt.clone(),
         kind: path.rsplit('/').next().unwrap_or_default().into(),
         ticket: Some(header("x-ticket")).filter(|ticket| !ticket.is_empty()),
+        record: Some(record.clone()).filter(|record| !record.is_empty()),
         shard: state.spec.shard.clone(),
         snapshot: header("x-index-version").parse().ok(),
         start_us: BootClock::new().now().as_micros() as u64,
@@ -128,7 +130,11 @@
     if state.is_silent(connection) {
         std::future::pending::<()>().await;
     }
-    let text = format!("{}:{}:{}", state.spec.name, request_id, body.len());
+    let mut text = format!("{}:{}:{}", state.spec.name, request_id, body.len());
+    if !record.is_empty() {
+        text.push(':');
+        text.push_str(&record);
+    }
     let mut response = respond(&state, 200, &request_id, &attempt, text.into());
     if let Some(version) = snapshot {
         response
--- a/crates/limpet-fakes/src/target/event.rs
+++ b/crates/limpet-fakes/src/target/event.rs
@@ -29,6 +29,8 @@
     pub kind: Box<str>,
     /// Value of `x-ticket`, where a caller of the target sends one.
     pub ticket: Option<Box<str>>,
+    /// Value of `x-record`, the key of a record or an order.
+    pub record: Option<Box<str>>,
     /// Shard of the target.
     pub shard: Box<str>,
     /// Index version asked for.
--- a/crates/limpet-types/src/message/attempt.rs
+++ b/crates/limpet-types/src/message/attempt.rs
@@ -76,9 +76,13 @@
     pub snapshot: Option<IndexVersion>,
     /// Time left when the entry sent the request.
     pub time_left: Duration,
-    /// Hash of service, kind and body, equal for every repetition by the caller.
+    /// Hash of service, kind, record and body, equal for every repetition by the caller.
     pub fingerprint: u64,
-    /// Query or record as the caller sent it.
+    /// Record key as the caller sent it; only of a record or an order.
+    pub record: Option<Box<str>>,
+    /// Ticket of an order.
+    pub ticket: Option<Box<str>>,
+    /// Query as the caller sent it.
     pub body: Vec<u8>,
 }
 
--- a/crates/limpetshuntd/examples/relay_cost.rs
+++ b/crates/limpetshuntd/examples/relay_cost.rs
@@ -192,6 +192,8 @@
         snapshot: None,
         time_left: DEADLINE,
         fingerprint: u64::from(number),
+        record: None,
+        ticket: None,
         body: vec![b'q'; 200],
     }
 }
--- a/crates/limpetshuntd/src/entry/attempt.rs
+++ b/crates/limpetshuntd/src/entry/attempt.rs
@@ -63,6 +63,13 @@
     pub(super) fingerprint: u64,
 }
 
+impl AttemptPlan<'_> {
+    /// Returns whether the attempt concerns the one record that the caller named.
+    const fn is_keyed(&self) -> bool {
+        matches!(self.kind, AttemptKind::Record | AttemptKind::Order)
+    }
+}
+
 /// Counts the attempt at its target, and records its time even when it is cancelled.
 struct Watch<'a> {
     entry: &'a Entry,
@@ -160,6 +167,11 @@
             snapshot: plan.snapshot,
             time_left,
             fingerprint: plan.fingerprint,
+            record: call.record.clone().filter(|_| plan.is_keyed()),
+            ticket: call
+                .ticket
+                .clone()
+                .filter(|_| plan.kind == AttemptKind::Order),
             body: call.body.to_vec(),
         };
         let request = PeerRequest::Attempt(request);
--- a/crates/limpetshuntd/src/entry/call.rs
+++ b/crates/limpetshuntd/src/entry/call.rs
@@ -33,6 +33,8 @@
     pub(super) deadline: Duration,
     pub(super) is_partial_allowed: bool,
     pub(super) record: Option<Box<str>>,
+    /// Ticket of an order, as the caller sent it.
+    pub(super) ticket: Option<Box<str>>,
     pub(super) body: Bytes,
     /// The configuration that the request is planned with to its end.
     pub(super) in_force: Arc<InForce>,
@@ -54,6 +56,7 @@
             deadline,
             is_partial_allowed: false,
             record: None,
+            ticket: None,
             body,
             in_force,
             attempts: AtomicU32::new(0),
--- a/crates/limpetshuntd/src/entry/caller.rs
+++ b/crates/limpetshuntd/src/entry/caller.rs
@@ -211,6 +211,7 @@
         );
         call.is_partial_allowed = is_partial_allowed;
         call.record = record;
+        call.ticket = ticket.map(Into::into);
         let response = match (lookup.kind, ticket) {
             (AttemptKind::Order, Some(ticket)) => {
                 let outcome = self.order(call, lookup, ticket).await?;
--- a/crates/limpetshuntd/src/entry/orders.rs
+++ b/crates/limpetshuntd/src/entry/orders.rs
@@ -153,6 +153,7 @@
             Arc::clone(&in_force),
         );
         call.record = Some(request.key);
+        call.ticket = Some(request.ticket);
         self.run_ticket(call, lookup, id.sequence).await
     }
 
--- a/crates/limpetshuntd/src/entry/query.rs
+++ b/crates/limpetshuntd/src/entry/query.rs
@@ -126,6 +126,10 @@
             (service.shards.iter().collect(), None)
         };
         let kind = lookup.kind.as_str().as_bytes();
+        // Two records with equal bodies are different requests: a crash by one must not strike the
+        // other.
+        let record = call.record.as_deref().filter(|_| is_keyed);
+        let record = record.unwrap_or_default().as_bytes();
         Ok(Self {
             entry,
             call,
@@ -133,7 +137,7 @@
             service,
             shards,
             key,
-            fingerprint: stable_hash_parts(&[service.name.as_bytes(), kind, &call.body]),
+            fingerprint: stable_hash_parts(&[service.name.as_bytes(), kind, record, &call.body]),
         })
     }
 
--- a/crates/limpetshuntd/src/relay/run.rs
+++ b/crates/limpetshuntd/src/relay/run.rs
@@ -153,6 +153,8 @@
         range: work.request.range,
         snapshot: work.request.snapshot,
         time_left,
+        record: work.request.record.take(),
+        ticket: work.request.ticket.take(),
         body: Bytes::from(std::mem::take(&mut work.request.body)),
     };
     let progress = connection.progress();
--- /dev/null
+++ b/crates/limpetshuntd/tests/entry_records.rs
@@ -0,0 +1,80 @@
+//! Guards against a record key or a ticket that is lost on the way to the target, and against a
+//! crash by one record that quarantines another with the same body.
+
+mod support;
+
+use std::sync::{
+    Arc,
+    Mutex, //
+};
+
+use limpet_types::message::AttemptRequest;
+use limpetshuntd::entry::EntryLimits;
+use support::{
+    Fleet,
+    Log,
+    answer,
+    config,
+    handler, //
+};
+
+async fn start() -> (Fleet, Log) {
+    let log: Log = Arc::new(Mutex::new(Vec::new()));
+    let seen = Arc::clone(&log);
+    let relay = handler(move |request: AttemptRequest| {
+        seen.lock().unwrap().push(request.clone());
+        async move { answer(&request, 1, true) }
+    });
+    let fleet = Fleet::start(config(2, 1), vec![relay], EntryLimits::default()).await;
+    (fleet, log)
+}
+
+#[tokio::test]
+async fn each_record_has_a_fingerprint_of_its_own() {
+    let (fleet, log) = start().await;
+    let mut caller = fleet.caller().await;
+    for record in ["r1", "r2", "r1"] {
+        let answer = caller.send("record", &[("x-limpet-record", record)]).await;
+        assert_eq!(answer.status, 200, "{}", answer.json);
+    }
+    let log = log.lock().unwrap();
+    let records: Vec<_> = log
+        .iter()
+        .map(|request| request.record.as_deref())
+        .collect();
+    assert_eq!(records, [Some("r1"), Some("r2"), Some("r1")]);
+    let prints: Vec<u64> = log.iter().map(|request| request.fingerprint).collect();
+    assert_ne!(
+        prints[0], prints[1],
+        "one record would quarantine the other"
+    );
+    assert_eq!(prints[0], prints[2], "a repetition must be recognised");
+}
+
+#[tokio::test]
+async fn an_order_carries_its_record_and_its_ticket() {
+    let (fleet, log) = start().await;
+    let mut caller = fleet.caller().await;
+    let ticket = caller.ticket().await;
+    let headers = [("x-limpet-record", "r1"), ("x-limpet-ticket", &*ticket)];
+    let answer = caller.send("order", &headers).await;
+    assert_eq!(answer.status, 200, "{}", answer.json);
+    let log = log.lock().unwrap();
+    assert_eq!(log[0].record.as_deref(), Some("r1"));
+    assert_eq!(log[0].ticket.as_deref(), Some(&*ticket));
+}
+
+#[tokio::test]
+async fn a_search_carries_no_record() {
+    let (fleet, log) = start().await;
+    let mut caller = fleet.caller().await;
+    // A header that the lookup does not use must not split the fingerprint of a search.
+    caller.send("search", &[("x-limpet-record", "r1")]).await;
+    caller.send("search", &[]).await;
+    let log = log.lock().unwrap();
+    assert!(log.iter().all(|request| request.record.is_none()));
+    assert!(
+        log.iter()
+            .all(|request| request.fingerprint == log[0].fingerprint)
+    );
+}
--- a/crates/limpetshuntd/tests/relay/harness.rs
+++ b/crates/limpetshuntd/tests/relay/harness.rs
@@ -185,6 +185,8 @@
             snapshot: None,
             time_left: LONG,
             fingerprint: limpet_types::hash::stable_hash(body.as_bytes()),
+            record: None,
+            ticket: None,
             body: body.as_bytes().to_vec(),
         }
     }
