Check and queue a forwarded order at the issuer of its ticket

Cause: an entry ran a forwarded order whatever its phase, zone and freshness were, looked only at the lookup and not at the team, and passed its own fair queue. The request for a ticket and the order with it cost the team two rate tokens.

Change: run_forwarded looks at the ticket first. In use or used, it is answered as recorded. Unused, the order passes the checks and the queue of the issuer and is refused as not run otherwise; after the queue the checks are repeated. The forwarding entry gives its place back before it forwards. A ticket costs no token; TicketTable bounds the unused tickets of a team at 2,000, and one more replaces the team's own oldest.

Ruled out: keeping the place while forwarding (two entries could wait for each other), and issuing tickets only while the team has a token (a caller that only asks for tickets spends none, so it limits nothing).

Tests: the forwarding tests move to entry_forward.rs with six refusal cases, a recorded outcome from a draining issuer and the queue at the issuer. a_key_revoked_while_the_request_queues_is_refused waited for a text that Shares never prints, so it did not wait; it waits for the first spent token now, the text that is printed.

--- a/crates/limpet-decide/src/ticket/table.rs
+++ b/crates/limpet-decide/src/ticket/table.rs
@@ -1,7 +1,11 @@
 //! Tickets of one entry incarnation and what became of them.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
     time::Duration, //
 };
 
@@ -16,6 +20,11 @@
 pub struct TicketLimits {
     /// Tickets remembered.
     pub tickets_max: usize,
+    /// Tickets of one team that no order has used; one more replaces the oldest of them.
+    ///
+    /// A ticket costs no rate token, so this keeps a team that only asks for tickets from
+    /// displacing those of other teams.
+    pub unused_per_team_max: usize,
     /// Sum of the recorded outcomes.
     pub outcomes_size_max_bytes: usize,
     /// Time after which a ticket is forgotten.
@@ -26,6 +35,7 @@
     fn default() -> Self {
         Self {
             tickets_max: 50_000,
+            unused_per_team_max: 2_000,
             outcomes_size_max_bytes: 16 << 20,
             age_max: Duration::from_secs(600),
         }
@@ -87,16 +97,19 @@
     next_sequence: u64,
     outcomes_size_bytes: usize,
     tickets: BTreeMap<u64, Ticket>,
+    /// Tickets that no order has used, by team.
+    unused: HashMap<TeamName, BTreeSet<u64>>,
 }
 
 impl TicketTable {
     /// Creates the table of a new incarnation.
-    pub const fn new(limits: TicketLimits) -> Self {
+    pub fn new(limits: TicketLimits) -> Self {
         Self {
             limits,
             next_sequence: 0,
             outcomes_size_bytes: 0,
             tickets: BTreeMap::new(),
+            unused: HashMap::new(),
         }
     }
 
@@ -113,6 +126,7 @@
     /// Issues a ticket; `None` if the memory is full of running orders.
     pub fn issue(&mut self, team: &str, now: Duration) -> Option<u64> {
         self.expire(now);
+        self.make_room_for(team);
         while self.tickets.len() >= self.limits.tickets_max {
             if !self.evict_oldest() {
                 return None;
@@ -127,32 +141,43 @@
             state: State::Issued(None),
         };
         self.tickets.insert(sequence, ticket);
+        let unused = self.unused.entry(team.into()).or_default();
+        unused.insert(sequence);
         Some(sequence)
     }
 
-    /// Claims a ticket for an order.
-    pub fn begin(&mut self, sequence: u64, team: &str, order_hash: u64, now: Duration) -> Begin {
+    /// Returns what [`TicketTable::begin`] would, without claiming the ticket.
+    pub fn peek(&mut self, sequence: u64, team: &str, order_hash: u64, now: Duration) -> Begin {
         self.expire(now);
         if sequence >= self.next_sequence {
             return Begin::Invalid;
         }
-        let Some(ticket) = self.tickets.get_mut(&sequence) else {
+        let Some(ticket) = self.tickets.get(&sequence) else {
             return Begin::Forgotten;
         };
         if &*ticket.team != team || ticket.order_hash.is_some_and(|hash| hash != order_hash) {
             return Begin::Invalid;
         }
         match &ticket.state {
-            State::Issued(_) => {
-                ticket.order_hash = Some(order_hash);
-                ticket.state = State::Running;
-                Begin::Run
-            }
+            State::Issued(_) => Begin::Run,
             State::Running => Begin::InProgress,
             State::Done(outcome) => Begin::Recorded(outcome.clone()),
         }
     }
 
+    /// Claims a ticket for an order.
+    pub fn begin(&mut self, sequence: u64, team: &str, order_hash: u64, now: Duration) -> Begin {
+        let begin = self.peek(sequence, team, order_hash, now);
+        if begin == Begin::Run
+            && let Some(ticket) = self.tickets.get_mut(&sequence)
+        {
+            ticket.order_hash = Some(order_hash);
+            ticket.state = State::Running;
+            self.note_used(sequence, team);
+        }
+        begin
+    }
+
     /// Records the outcome of a running order.
     ///
     /// An order that certainly did not run gives the ticket back, so that the caller can use it again.
@@ -194,8 +219,8 @@
             if age <= self.limits.age_max || matches!(first.get().state, State::Running) {
                 break;
             }
-            let ticket = first.remove();
-            self.forget(&ticket);
+            let (sequence, ticket) = first.remove_entry();
+            self.forget(sequence, &ticket);
         }
     }
 
@@ -206,12 +231,33 @@
             return false;
         };
         if let Some(ticket) = self.tickets.remove(&sequence) {
-            self.forget(&ticket);
+            self.forget(sequence, &ticket);
         }
         true
     }
 
-    fn forget(&mut self, ticket: &Ticket) {
+    /// Forgets the oldest unused tickets of a team that has as many as it may.
+    fn make_room_for(&mut self, team: &str) {
+        while let Some(unused) = self.unused.get(team)
+            && unused.len() >= self.limits.unused_per_team_max.max(1)
+            && let Some(oldest) = unused.first().copied()
+        {
+            self.tickets.remove(&oldest);
+            self.note_used(oldest, team);
+        }
+    }
+
+    fn note_used(&mut self, sequence: u64, team: &str) {
+        if let Some(unused) = self.unused.get_mut(team) {
+            unused.remove(&sequence);
+            if unused.is_empty() {
+                self.unused.remove(team);
+            }
+        }
+    }
+
+    fn forget(&mut self, sequence: u64, ticket: &Ticket) {
+        self.note_used(sequence, &ticket.team);
         if let State::Done(outcome) = &ticket.state {
             self.outcomes_size_bytes -= size_bytes(outcome);
         }
--- a/crates/limpet-decide/tests/ticket.rs
+++ b/crates/limpet-decide/tests/ticket.rs
@@ -22,6 +22,7 @@
 fn table(tickets_max: usize, outcomes_size_max_bytes: usize) -> TicketTable {
     TicketTable::new(TicketLimits {
         tickets_max,
+        unused_per_team_max: tickets_max,
         outcomes_size_max_bytes,
         age_max: Duration::from_secs(1),
     })
@@ -55,6 +56,35 @@
     assert_eq!(table.begin(ticket, "t", 1, MS), Begin::Recorded(unknown));
 }
 
+#[test]
+fn a_flood_of_unused_tickets_displaces_only_those_of_its_team() {
+    let mut table = TicketTable::new(TicketLimits {
+        unused_per_team_max: 3,
+        ..TicketLimits::default()
+    });
+    let quiet = table.issue("quiet", MS).unwrap();
+    let used = table.issue("loud", MS).unwrap();
+    assert_eq!(table.begin(used, "loud", 1, MS), Begin::Run);
+    table.finish(used, Ok(vec![1]));
+    let flood: Vec<u64> = (0..100).map(|_| table.issue("loud", MS).unwrap()).collect();
+    assert_eq!(table.len(), 5, "the memory of one team is not bounded");
+    assert_eq!(table.begin(flood[0], "loud", 1, MS), Begin::Forgotten);
+    assert_eq!(table.begin(flood[99], "loud", 1, MS), Begin::Run);
+    assert_eq!(table.begin(quiet, "quiet", 1, MS), Begin::Run);
+    let recorded = table.begin(used, "loud", 1, MS);
+    assert_eq!(recorded, Begin::Recorded(Ok(vec![1])));
+}
+
+#[test]
+fn a_look_at_a_ticket_does_not_claim_it() {
+    let mut table = table(10, 1000);
+    let ticket = table.issue("t", MS).unwrap();
+    assert_eq!(table.peek(ticket, "t", 1, MS), Begin::Run);
+    assert_eq!(table.begin(ticket, "t", 2, MS), Begin::Run);
+    assert_eq!(table.peek(ticket, "t", 1, MS), Begin::Invalid);
+    assert_eq!(table.peek(ticket, "t", 2, MS), Begin::InProgress);
+}
+
 #[test]
 fn a_forgotten_ticket_is_never_run() {
     let mut table = table(2, 1000);
--- a/crates/limpetshuntd/src/entry/admission.rs
+++ b/crates/limpetshuntd/src/entry/admission.rs
@@ -64,6 +64,28 @@
         config: &Config,
         lookup: &Lookup,
         key: Option<&[u8]>,
+    ) -> Result<Caller, Refusal> {
+        self.check_access(config, lookup, key.and_then(|key| config.team_by_key(key)))
+    }
+
+    /// Checks a team that another entry has authenticated.
+    ///
+    /// The other entry may have an older configuration, so the team must still exist here. Its
+    /// order has spent a rate token there.
+    pub(super) fn authorize_forwarded(
+        &self,
+        config: &Config,
+        lookup: &Lookup,
+        team: &str,
+    ) -> Result<Caller, Refusal> {
+        self.check_access(config, lookup, config.team(team))
+    }
+
+    fn check_access(
+        &self,
+        config: &Config,
+        lookup: &Lookup,
+        team: Option<&Team>,
     ) -> Result<Caller, Refusal> {
         let lookups = graph::closure(config, lookup)?;
         let is_open = |lookup: &&Lookup| {
@@ -77,11 +99,11 @@
                 "no proof that the configuration is current",
             ));
         }
-        let Some(team) = key.and_then(|key| config.team_by_key(key)) else {
+        let Some(team) = team else {
             if needs_key {
                 return Err(Refusal::not_run(
                     RefusalCode::Unauthorized,
-                    "no team has this API key",
+                    "no team has this API key, or the team is gone",
                 ));
             }
             return Ok(Caller {
--- a/crates/limpetshuntd/src/entry/caller.rs
+++ b/crates/limpetshuntd/src/entry/caller.rs
@@ -30,19 +30,22 @@
     message::AttemptKind, //
 };
 
-use crate::entry::{
-    call::Call,
-    graph,
-    limits::{
-        BODY_SIZE_MAX_BYTES,
-        DEADLINE_DEFAULT,
-        DEADLINE_MAX, //
+use crate::{
+    blackboard::InForce,
+    entry::{
+        call::Call,
+        graph,
+        limits::{
+            BODY_SIZE_MAX_BYTES,
+            DEADLINE_DEFAULT,
+            DEADLINE_MAX, //
+        },
+        respond::{
+            self,
+            CallerResponse, //
+        },
+        state::Entry,
     },
-    respond::{
-        self,
-        CallerResponse, //
-    },
-    state::Entry,
 };
 
 const PATH_PREFIX: &str = "/v1/lookups/";
@@ -184,12 +187,13 @@
         let ticket = text(&head.headers, respond::TICKET_HEADER)?;
         let time_left = deadline.saturating_sub(self.board.now());
         let body = read_body(body, time_left).await?;
-        if caller.is_metered {
-            self.take_token(&caller.team, deadline).await?;
-        }
         if lookup.kind == AttemptKind::Order && ticket.is_none() {
+            // The order that uses the ticket spends the rate token.
             return Err(self.issue_ticket(&caller.team));
         }
+        if caller.is_metered {
+            self.take_token(&caller.team, deadline).await?;
+        }
         let place = self
             .places
             .enter(&caller.team, caller.weight, deadline)
@@ -214,20 +218,20 @@
         call.ticket = ticket.map(Into::into);
         let response = match (lookup.kind, ticket) {
             (AttemptKind::Order, Some(ticket)) => {
-                let outcome = self.order(call, lookup, ticket).await?;
+                let outcome = self.order(call, lookup, ticket, place).await?;
                 respond::raw(request_id, &outcome)
             }
             _ => {
                 let results = graph::run(self, &call, lookup).await?;
+                drop(place);
                 respond::answered(request_id, &in_force.config, lookup, &results)
             }
         };
-        drop(place);
         Ok(response)
     }
 
     /// Like [`Entry::check_serving`], for a request that was admitted before a drain began.
-    fn check_serving_admitted(&self) -> Result<Arc<crate::blackboard::InForce>, Refusal> {
+    pub(super) fn check_serving_admitted(&self) -> Result<Arc<InForce>, Refusal> {
         match self.board.in_force() {
             Some(in_force) if self.board.phase() == Phase::Draining => Ok(in_force),
             _ => self.check_serving(),
--- a/crates/limpetshuntd/src/entry/orders.rs
+++ b/crates/limpetshuntd/src/entry/orders.rs
@@ -1,6 +1,9 @@
 //! Orders: tickets, the one run of each, and forwarding to the issuer.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use limpet_config::Lookup;
 use limpet_decide::ticket::{
@@ -21,16 +24,22 @@
     },
 };
 
-use crate::entry::{
-    call::Call,
-    caller::{
-        CallerRefusal,
-        find_lookup, //
-    },
-    graph, respond,
-    state::{
-        Entry,
-        lock, //
+use crate::{
+    blackboard::InForce,
+    entry::{
+        call::Call,
+        caller::{
+            CallerRefusal,
+            find_lookup, //
+        },
+        graph,
+        limits::RESPONSE_MARGIN,
+        places::Place,
+        respond,
+        state::{
+            Entry,
+            lock, //
+        },
     },
 };
 
@@ -38,8 +47,22 @@
     Refusal::maybe_run(RefusalCode::OutcomeUnknown, message)
 }
 
+/// Hash of the order that a ticket is bound to.
+fn order_hash(lookup: &str, record: &str, body: &[u8]) -> u64 {
+    stable_hash_parts(&[lookup.as_bytes(), record.as_bytes(), body])
+}
+
+async fn within(time_left: Duration, outcome: impl Future<Output = OrderOutcome>) -> OrderOutcome {
+    tokio::time::timeout(time_left, outcome)
+        .await
+        .unwrap_or_else(|_| Err(unknown("the order runs and has no outcome yet")))
+}
+
 impl Entry {
     /// Issues a ticket to a caller that sent an order without one.
+    ///
+    /// It costs no rate token. A flood of ticket requests costs the entry as much as one of refused
+    /// requests, reaches no target, and displaces only unused tickets of its own team.
     pub(super) fn issue_ticket(&self, team: &str) -> CallerRefusal {
         let Some(sequence) = self.tickets().issue(team, self.board.now()) else {
             let message = "every ticket in memory belongs to a running order";
@@ -61,6 +84,7 @@
         call: Call,
         lookup: &Lookup,
         ticket: &str,
+        place: Place<'_>,
     ) -> OrderOutcome {
         let invalid = |message: String| Refusal::not_run(RefusalCode::TicketInvalid, message);
         let id: TicketId = ticket
@@ -72,6 +96,9 @@
         if id.issuer == self.board.node {
             return self.run_ticket(call, lookup, id.sequence).await;
         }
+        // The order takes a place at its issuer. Two entries that keep places while they wait for
+        // places of each other would block each other until the deadlines.
+        drop(place);
         let members = self.board.members.load_full();
         let is_known = members
             .of_role(Role::Entry)
@@ -136,24 +163,43 @@
             let message = "the ticket belongs to another team";
             return Err(Refusal::not_run(RefusalCode::TicketInvalid, message));
         }
-        let Some(in_force) = self.board.in_force() else {
-            let message = "no configuration is in force yet";
-            return Err(Refusal::not_run(RefusalCode::Starting, message));
+        let deadline = self.board.now() + request.time_left;
+        let order_hash = order_hash(&request.lookup, &request.key, &request.body);
+        let now = self.board.now();
+        let begin = self.tickets().peek(id.sequence, &id.team, order_hash, now);
+        if begin != Begin::Run {
+            // Nothing new runs, and "not run" would be untrue of an order that ran before.
+            let outcome = self.known_outcome(begin, id.sequence);
+            let time_left = deadline.saturating_sub(RESPONSE_MARGIN).saturating_sub(now);
+            return within(time_left, outcome).await;
+        }
+        let authorize = |in_force: &InForce| {
+            let lookup = find_lookup(&in_force.config, &request.lookup)?;
+            if lookup.kind != AttemptKind::Order {
+                let message = "the lookup places no orders";
+                return Err(Refusal::not_run(RefusalCode::Forbidden, message));
+            }
+            let team = &request.team;
+            self.authorize_forwarded(&in_force.config, lookup, team)
         };
+        let caller = authorize(&*self.check_serving()?)?;
+        let _place = self
+            .places
+            .enter(&caller.team, caller.weight, deadline)
+            .await?;
+        // The team may have lost its right while the order queued.
+        let in_force = self.check_serving_admitted()?;
+        authorize(&in_force)?;
         let lookup = find_lookup(&in_force.config, &request.lookup)?;
-        if lookup.kind != AttemptKind::Order || !lookup.allows(&request.team) {
-            let message = "the team may not place orders with this lookup";
-            return Err(Refusal::not_run(RefusalCode::Forbidden, message));
-        }
         let mut call = Call::new(
             request.request_id,
-            request.team,
-            self.board.now() + request.time_left,
-            request.body.into(),
+            request.team.clone(),
+            deadline,
+            request.body.clone().into(),
             Arc::clone(&in_force),
         );
-        call.record = Some(request.key);
-        call.ticket = Some(request.ticket);
+        call.record = Some(request.key.clone());
+        call.ticket = Some(request.ticket.clone());
         self.run_ticket(call, lookup, id.sequence).await
     }
 
@@ -164,27 +210,28 @@
         sequence: u64,
     ) -> OrderOutcome {
         let record = call.record.as_deref().unwrap_or_default();
-        let parts = [lookup.name.as_bytes(), record.as_bytes(), &call.body];
-        let order_hash = stable_hash_parts(&parts);
+        let order_hash = order_hash(&lookup.name, record, &call.body);
         let now = self.board.now();
         let begin = self.tickets().begin(sequence, &call.team, order_hash, now);
         let answers_until = call.answers_until();
-        match begin {
-            Begin::Run => self.spawn_order(call, lookup.clone(), sequence),
-            Begin::InProgress => {}
-            Begin::Recorded(outcome) => return outcome,
-            Begin::Invalid => {
-                return Err(Refusal::not_run(
-                    RefusalCode::TicketInvalid,
-                    "the ticket was not issued for this order",
-                ));
-            }
-            Begin::Forgotten => return Err(unknown("the ticket is no longer remembered")),
+        if begin == Begin::Run {
+            self.spawn_order(call, lookup.clone(), sequence);
         }
         let time_left = answers_until.saturating_sub(self.board.now());
-        tokio::time::timeout(time_left, self.outcome(sequence))
-            .await
-            .unwrap_or_else(|_| Err(unknown("the order runs and has no outcome yet")))
+        within(time_left, self.known_outcome(begin, sequence)).await
+    }
+
+    /// Returns the outcome of an order that runs or ran, or why there is none.
+    async fn known_outcome(&self, begin: Begin, sequence: u64) -> OrderOutcome {
+        match begin {
+            Begin::Run | Begin::InProgress => self.outcome(sequence).await,
+            Begin::Recorded(outcome) => outcome,
+            Begin::Invalid => Err(Refusal::not_run(
+                RefusalCode::TicketInvalid,
+                "the ticket was not issued for this order",
+            )),
+            Begin::Forgotten => Err(unknown("the ticket is no longer remembered")),
+        }
     }
 
     /// Runs the order in its own task: a caller that goes away must not lose the outcome.
--- a/crates/limpetshuntd/tests/entry_access.rs
+++ b/crates/limpetshuntd/tests/entry_access.rs
@@ -103,7 +103,7 @@
     let second = tokio::spawn(async move { second.send("search", &[]).await });
     // A token is spent just before the request queues.
     let tokens = |board: &limpetshuntd::Blackboard| format!("{:?}", board.shares());
-    while tokens(&fleet.board).contains("count: 999999") {
+    while tokens(&fleet.board).contains("spent: 1,") {
         tokio::task::yield_now().await;
     }
     install(&fleet.board, without_keys_of_a());
--- /dev/null
+++ b/crates/limpetshuntd/tests/entry_forward.rs
@@ -0,0 +1,148 @@
+//! Guards against an order that runs twice through two entries, and against an issuer that runs a
+//! forwarded order which it would refuse to its own callers.
+
+mod support;
+
+use std::sync::atomic::Ordering;
+
+use limpet_config::{
+    Config,
+    ZoneState, //
+};
+use limpet_decide::fair::Limits;
+use limpet_types::Phase;
+use limpetshuntd::entry::EntryLimits;
+use support::{
+    Fleet, config, install,
+    orders::{
+        Orders,
+        connect,
+        place,
+        start, //
+    },
+};
+
+#[tokio::test]
+async fn an_order_resent_through_another_entry_runs_once() {
+    let orders = Orders::open();
+    let (issuer, other) = (start(orders.handler()).await, start(orders.handler()).await);
+    let ticket = issuer.caller().await.ticket().await;
+    let (server, forwarded) = connect(&issuer, &other, &ticket).await;
+    let direct = place(&mut issuer.caller().await, &ticket).await;
+    let resent = place(&mut other.caller().await, &forwarded).await;
+    assert_eq!(resent.json, direct.json);
+    assert_eq!(orders.runs(), 1);
+    server.stop().await;
+}
+
+#[tokio::test]
+async fn a_ticket_of_a_dead_or_unknown_issuer_is_never_run() {
+    let orders = Orders::open();
+    let (issuer, other) = (start(orders.handler()).await, start(orders.handler()).await);
+    let ticket = issuer.caller().await.ticket().await;
+    let mut caller = other.caller().await;
+    place(&mut caller, &ticket)
+        .await
+        .assert_refused("outcome_unknown", false);
+    let (server, forwarded) = connect(&issuer, &other, &ticket).await;
+    server.stop().await;
+    place(&mut caller, &forwarded)
+        .await
+        .assert_refused("outcome_unknown", false);
+    // The address is used again by another incarnation.
+    let restarted = start(orders.handler()).await;
+    let mut restarted_caller = restarted.caller().await;
+    place(&mut restarted_caller, &ticket)
+        .await
+        .assert_refused("outcome_unknown", false);
+    assert_eq!(orders.runs(), 0);
+}
+
+/// A change to the issuer, and the code of the refusal of an order forwarded to it.
+type ForwardCase = (fn(&Fleet), &'static str);
+
+fn refuses_forwarded((change, code): ForwardCase) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let orders = Orders::open();
+        let (issuer, other) = (start(orders.handler()).await, start(orders.handler()).await);
+        let ticket = issuer.caller().await.ticket().await;
+        let (server, forwarded) = connect(&issuer, &other, &ticket).await;
+        change(&issuer);
+        place(&mut other.caller().await, &forwarded)
+            .await
+            .assert_refused(code, true);
+        assert_eq!(orders.runs(), 0, "the issuer ran what it must refuse");
+        server.stop().await;
+    });
+}
+
+fn changed(fleet: &Fleet, change: impl FnOnce(&mut Config)) {
+    let mut config = config(2, 1);
+    change(&mut config);
+    install(&fleet.board, config);
+}
+
+limpet_testkit::cases! {
+    refuses_forwarded:
+    a_starting_issuer => (|f| { f.board.phase.send_replace(Phase::Starting); }, "starting"),
+    a_draining_issuer => (|f| { f.board.phase.send_replace(Phase::Draining); }, "draining"),
+    a_stale_issuer => (|f| f.board.fresh_until_us.store(0, Ordering::Release), "config_stale"),
+    an_issuer_in_a_zone_out =>
+        (|f| changed(f, |c| c.zones[0].state = ZoneState::Out), "zone_out"),
+    a_team_that_is_gone => (|f| changed(f, |c| { c.teams.remove(0); }), "unauthorized"),
+    a_team_without_the_lookup =>
+        (|f| changed(f, |c| c.lookups[3].teams = vec!["b".into()]), "forbidden"),
+}
+
+#[tokio::test]
+async fn a_draining_issuer_returns_recorded_outcomes() {
+    let orders = Orders::open();
+    let (issuer, other) = (start(orders.handler()).await, start(orders.handler()).await);
+    let ticket = issuer.caller().await.ticket().await;
+    let (server, forwarded) = connect(&issuer, &other, &ticket).await;
+    let direct = place(&mut issuer.caller().await, &ticket).await;
+    issuer.board.phase.send_replace(Phase::Draining);
+    let resent = place(&mut other.caller().await, &forwarded).await;
+    assert_eq!(resent.json, direct.json);
+    assert_eq!(orders.runs(), 1);
+    server.stop().await;
+}
+
+#[tokio::test]
+async fn a_forwarded_order_waits_for_a_place_at_the_issuer() {
+    let limits = EntryLimits {
+        queue: Limits {
+            running_max: 1,
+            queued_per_team_max: 10,
+            queued_max: 10,
+        },
+        ..EntryLimits::default()
+    };
+    let orders = Orders::with_permits(0);
+    let issuer = Fleet::start(config(2, 1), vec![orders.handler()], limits).await;
+    let other = start(orders.handler()).await;
+    let ticket = issuer.caller().await.ticket().await;
+    let (server, forwarded) = connect(&issuer, &other, &ticket).await;
+    let mut running = issuer.caller().await;
+    let record = [("x-limpet-record", "r2")];
+    let running = tokio::spawn(async move { running.send("record", &record).await });
+    orders.started.notified().await;
+    let headers = [
+        ("x-limpet-record", "r1"),
+        ("x-limpet-ticket", &*forwarded),
+        ("x-limpet-deadline-ms", "100"),
+    ];
+    let mut caller = other.caller().await;
+    let refused = caller.send("order", &headers).await;
+    assert_ne!(refused.status, 200, "{}", refused.json);
+    assert_eq!(orders.runs(), 1, "the order passed the queue of the issuer");
+    orders.gate.add_permits(10);
+    assert_eq!(running.await.unwrap().status, 200);
+    let placed = place(&mut caller, &forwarded).await;
+    assert_eq!(placed.status, 200, "{}", placed.json);
+    server.stop().await;
+}
--- a/crates/limpetshuntd/tests/entry_orders.rs
+++ b/crates/limpetshuntd/tests/entry_orders.rs
@@ -2,148 +2,28 @@
 
 mod support;
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{
-            AtomicUsize,
-            Ordering, //
-        },
+use std::sync::{
+    Arc,
+    atomic::{
+        AtomicUsize,
+        Ordering, //
     },
-    time::Duration,
 };
 
-use limpet_peer::{
-    PeerServer,
-    serve, //
-};
 use limpet_types::{
-    NodeRecord, Phase, RefusalCode, Role,
-    message::{
-        PeerReply,
-        PeerRequest, //
-    },
-};
-use limpetshuntd::{
-    blackboard::{
-        Member,
-        Members, //
-    },
-    entry::EntryLimits,
+    Phase,
+    RefusalCode, //
 };
 use support::{
-    Answer,
-    Caller,
-    Fleet,
-    Handler,
-    LONG,
-    answer,
-    config,
-    handler,
-    refuse, //
-};
-use tokio::{
-    net::TcpListener,
-    sync::{
-        Notify,
-        Semaphore, //
+    LONG, answer, handler,
+    orders::{
+        Orders,
+        place,
+        start, //
     },
+    refuse,
 };
 
-/// Relay side that counts the orders it ran and answers each when the gate lets it.
-#[derive(Clone)]
-struct Orders {
-    runs: Arc<AtomicUsize>,
-    started: Arc<Notify>,
-    gate: Arc<Semaphore>,
-}
-
-impl Orders {
-    fn open() -> Self {
-        Self::with_permits(1000)
-    }
-
-    fn with_permits(permits: usize) -> Self {
-        Self {
-            runs: Arc::default(),
-            started: Arc::default(),
-            gate: Arc::new(Semaphore::new(permits)),
-        }
-    }
-
-    fn handler(&self) -> Handler {
-        let orders = self.clone();
-        handler(move |request| {
-            let orders = orders.clone();
-            async move {
-                let run = orders.runs.fetch_add(1, Ordering::SeqCst);
-                orders.started.notify_one();
-                orders.gate.acquire().await.unwrap().forget();
-                answer(&request, run as u64, true)
-            }
-        })
-    }
-
-    fn runs(&self) -> usize {
-        self.runs.load(Ordering::SeqCst)
-    }
-}
-
-async fn start(handler: Handler) -> Fleet {
-    Fleet::start(config(2, 1), vec![handler], EntryLimits::default()).await
-}
-
-async fn place(caller: &mut Caller, ticket: &str) -> Answer {
-    let headers = [("x-limpet-record", "r1"), ("x-limpet-ticket", ticket)];
-    caller.send("order", &headers).await
-}
-
-/// Serves forwarded orders of `issuer` and makes it known to `other` under that address.
-async fn connect(issuer: &Fleet, other: &Fleet, ticket: &str) -> (PeerServer, String) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr = listener.local_addr().unwrap();
-    let entry = Arc::clone(&issuer.entry);
-    let node = issuer.board.node;
-    let server = serve(listener, move |request| {
-        let entry = Arc::clone(&entry);
-        async move {
-            let PeerRequest::ForwardOrder(mut order) = request else {
-                return PeerReply::Unsupported;
-            };
-            // The entries of a test have no fixed peer port: the address differs in the ticket.
-            order.ticket = order
-                .ticket
-                .replace(&addr.to_string(), &node.addr.to_string())
-                .into();
-            PeerReply::ForwardOrder(entry.run_forwarded_order(order).await)
-        }
-    });
-    let mut at_addr = node;
-    at_addr.addr = addr;
-    let record = NodeRecord {
-        node: at_addr,
-        role: Role::Entry,
-        zone: "z1".into(),
-        phase: Phase::Serving,
-        revision: 1,
-        coordinates: vec![],
-        version: 1,
-        age: Duration::ZERO,
-    };
-    let member = Member {
-        record,
-        heard_at: Duration::ZERO,
-    };
-    other
-        .board
-        .members
-        .store(Arc::new(Members::default().with_member(member)));
-    (
-        server,
-        ticket.replace(&node.addr.to_string(), &addr.to_string()),
-    )
-}
-
 #[tokio::test]
 async fn a_repeated_ticket_gets_the_recorded_outcome() {
     let orders = Orders::open();
@@ -206,42 +86,6 @@
     assert_eq!(orders.runs(), 1);
 }
 
-#[tokio::test]
-async fn an_order_resent_through_another_entry_runs_once() {
-    let orders = Orders::open();
-    let (issuer, other) = (start(orders.handler()).await, start(orders.handler()).await);
-    let ticket = issuer.caller().await.ticket().await;
-    let (server, forwarded) = connect(&issuer, &other, &ticket).await;
-    let direct = place(&mut issuer.caller().await, &ticket).await;
-    let resent = place(&mut other.caller().await, &forwarded).await;
-    assert_eq!(resent.json, direct.json);
-    assert_eq!(orders.runs(), 1);
-    server.stop().await;
-}
-
-#[tokio::test]
-async fn a_ticket_of_a_dead_or_unknown_issuer_is_never_run() {
-    let orders = Orders::open();
-    let (issuer, other) = (start(orders.handler()).await, start(orders.handler()).await);
-    let ticket = issuer.caller().await.ticket().await;
-    let mut caller = other.caller().await;
-    place(&mut caller, &ticket)
-        .await
-        .assert_refused("outcome_unknown", false);
-    let (server, forwarded) = connect(&issuer, &other, &ticket).await;
-    server.stop().await;
-    place(&mut caller, &forwarded)
-        .await
-        .assert_refused("outcome_unknown", false);
-    // The address is used again by another incarnation.
-    let restarted = start(orders.handler()).await;
-    let mut restarted_caller = restarted.caller().await;
-    place(&mut restarted_caller, &ticket)
-        .await
-        .assert_refused("outcome_unknown", false);
-    assert_eq!(orders.runs(), 0);
-}
-
 #[tokio::test]
 async fn an_order_that_may_have_run_is_unknown_and_never_run_again() {
     let runs = Arc::new(AtomicUsize::new(0));
@@ -330,3 +174,15 @@
         .assert_refused("outcome_unknown", false);
     assert_eq!(orders.runs(), 1);
 }
+
+#[tokio::test]
+async fn an_order_spends_one_rate_token() {
+    let orders = Orders::open();
+    let fleet = start(orders.handler()).await;
+    let mut caller = fleet.caller().await;
+    let ticket = caller.ticket().await;
+    let tokens = || format!("{:?}", fleet.board.shares());
+    assert!(!tokens().contains("spent: 1,"), "the ticket spent one");
+    place(&mut caller, &ticket).await;
+    assert!(tokens().contains("spent: 1,"), "{}", tokens());
+}
--- a/crates/limpetshuntd/tests/support/mod.rs
+++ b/crates/limpetshuntd/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
+pub mod orders;
+
 use std::{
     collections::HashMap,
     net::SocketAddr,
@@ -397,5 +399,5 @@
     }
 }
 
-/// Counts attempts by what a test keys them with.
+/// Attempts that reached a relay.
 pub type Log = Arc<Mutex<Vec<AttemptRequest>>>;
--- /dev/null
+++ b/crates/limpetshuntd/tests/support/orders.rs
@@ -0,0 +1,142 @@
+//! Orders at a fake relay, and forwarding between two entries.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use limpet_peer::{
+    PeerServer,
+    serve, //
+};
+use limpet_types::{
+    NodeRecord, Phase, Role,
+    message::{
+        PeerReply,
+        PeerRequest, //
+    },
+};
+use limpetshuntd::{
+    blackboard::{
+        Member,
+        Members, //
+    },
+    entry::EntryLimits,
+};
+use tokio::{
+    net::TcpListener,
+    sync::{
+        Notify,
+        Semaphore, //
+    },
+};
+
+use super::{
+    Answer,
+    Caller,
+    Fleet,
+    Handler,
+    answer,
+    config,
+    handler, //
+};
+
+/// Relay side that counts the orders it ran and answers each when the gate lets it.
+#[derive(Clone)]
+pub struct Orders {
+    pub runs: Arc<AtomicUsize>,
+    pub started: Arc<Notify>,
+    pub gate: Arc<Semaphore>,
+}
+
+impl Orders {
+    pub fn open() -> Self {
+        Self::with_permits(1000)
+    }
+
+    pub fn with_permits(permits: usize) -> Self {
+        Self {
+            runs: Arc::default(),
+            started: Arc::default(),
+            gate: Arc::new(Semaphore::new(permits)),
+        }
+    }
+
+    pub fn handler(&self) -> Handler {
+        let orders = self.clone();
+        handler(move |request| {
+            let orders = orders.clone();
+            async move {
+                let run = orders.runs.fetch_add(1, Ordering::SeqCst);
+                orders.started.notify_one();
+                orders.gate.acquire().await.unwrap().forget();
+                answer(&request, run as u64, true)
+            }
+        })
+    }
+
+    pub fn runs(&self) -> usize {
+        self.runs.load(Ordering::SeqCst)
+    }
+}
+
+pub async fn start(handler: Handler) -> Fleet {
+    Fleet::start(config(2, 1), vec![handler], EntryLimits::default()).await
+}
+
+pub async fn place(caller: &mut Caller, ticket: &str) -> Answer {
+    let headers = [("x-limpet-record", "r1"), ("x-limpet-ticket", ticket)];
+    caller.send("order", &headers).await
+}
+
+/// Serves forwarded orders of `issuer` and makes it known to `other` under that address.
+pub async fn connect(issuer: &Fleet, other: &Fleet, ticket: &str) -> (PeerServer, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let entry = Arc::clone(&issuer.entry);
+    let node = issuer.board.node;
+    let server = serve(listener, move |request| {
+        let entry = Arc::clone(&entry);
+        async move {
+            let PeerRequest::ForwardOrder(mut order) = request else {
+                return PeerReply::Unsupported;
+            };
+            // The entries of a test have no fixed peer port: the address differs in the ticket.
+            order.ticket = order
+                .ticket
+                .replace(&addr.to_string(), &node.addr.to_string())
+                .into();
+            PeerReply::ForwardOrder(entry.run_forwarded_order(order).await)
+        }
+    });
+    let mut at_addr = node;
+    at_addr.addr = addr;
+    let record = NodeRecord {
+        node: at_addr,
+        role: Role::Entry,
+        zone: "z1".into(),
+        phase: Phase::Serving,
+        revision: 1,
+        coordinates: vec![],
+        version: 1,
+        age: Duration::ZERO,
+    };
+    let member = Member {
+        record,
+        heard_at: Duration::ZERO,
+    };
+    other
+        .board
+        .members
+        .store(Arc::new(Members::default().with_member(member)));
+    (
+        server,
+        ticket.replace(&node.addr.to_string(), &addr.to_string()),
+    )
+}
