Keep a draining entry reachable and an unready one out of service

Cause: after a failed accept the loops tried again at once, which keeps a core busy while file descriptors are short. A draining entry closed its listener as soon as nothing was in flight, often before a load balancer saw readiness fail, so callers met refused connections. A fresh entry was ready before it knew any owner and refused its first requests as not_owner. Views::retain was never called, so views of lost targets stayed forever.

Ruled out: the owner rule per service (a service that is wholly out would keep every entry unready), and applying it after the first success (relays lost later concern all entries, and a balancer without a ready entry would cut off the shards that still answer).

Not tested: the pause, which needs a process without file descriptors. readiness_follows_phase_and_freshness expected a ready entry without any owner; it checks the new rule on both sides of one half now.

--- a/crates/limpet-decide/src/replica/view.rs
+++ b/crates/limpet-decide/src/replica/view.rs
@@ -127,6 +127,16 @@
         self.targets.entry(target).or_default()
     }
 
+    /// Returns the number of targets that the entry remembers.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns whether the entry remembers no target.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// Forgets targets that left the text; those with attempts in flight stay.
     pub fn retain(&mut self, keep: impl Fn(TargetAddr) -> bool) {
         self.targets
--- a/crates/limpet-peer/src/server.rs
+++ b/crates/limpet-peer/src/server.rs
@@ -6,7 +6,8 @@
         poll_fn, //
     },
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use bytes::Bytes;
@@ -42,6 +43,9 @@
     write_body, //
 };
 
+/// Pause after a failed accept. File descriptors have run out; without a pause the loop would keep a
+/// core busy and fill the log.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Streams that one peer may have open at a time.
 const STREAMS_MAX: u32 = 10_000;
 /// Flow-control window of a stream and of a connection.
@@ -102,7 +106,10 @@
                         stopped.clone(),
                     ));
                 }
-                Err(error) => tracing::warn!(%error, "peer connection not accepted"),
+                Err(error) => {
+                    tracing::warn!(%error, "peer connection not accepted");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
             },
             Some(_) = connections.join_next() => {}
             _ = stopped.changed() => break,
--- a/crates/limpetshuntd/src/admin/readiness.rs
+++ b/crates/limpetshuntd/src/admin/readiness.rs
@@ -1,5 +1,6 @@
 //! Whether a process takes new work.
 
+use limpet_config::Config;
 use limpet_types::{
     Phase,
     Role, //
@@ -19,6 +20,16 @@
     /// The evidence for its configuration is too old.
     #[error("config_stale: the evidence that the configuration is current is too old")]
     ConfigStale,
+    /// It does not know yet who owns the targets of most shards.
+    #[error(
+        "owners_unknown: an owner is known for {known} of {shards} shards, more than half is needed"
+    )]
+    OwnersUnknown {
+        /// Shards with a replica whose owner is known.
+        known: usize,
+        /// Shards of all services.
+        shards: usize,
+    },
     /// Operators took the zone of this entry out.
     #[error("zone_out: operators took the zone of this entry out")]
     ZoneOut,
@@ -36,11 +47,41 @@
     if !board.is_fresh() {
         return Err(NotReady::ConfigStale);
     }
-    let is_out = board
-        .in_force()
-        .is_none_or(|in_force| in_force.config.zone_is_out(&board.zone));
-    if board.role == Role::Entry && is_out {
+    if board.role != Role::Entry {
+        return Ok(());
+    }
+    let Some(in_force) = board.in_force() else {
+        return Err(NotReady::ZoneOut);
+    };
+    if in_force.config.zone_is_out(&board.zone) {
         return Err(NotReady::ZoneOut);
     }
+    check_owners(board, &in_force.config)
+}
+
+/// Checks that an owner is known for a replica of more than half of the shards of all services.
+///
+/// An entry that has just started would refuse every request of the others as `not_owner`. The check
+/// ends with its first success: relays that are lost later concern all entries alike, and a balancer
+/// without any ready entry would cut off the shards that still answer.
+fn check_owners(board: &Blackboard, config: &Config) -> Result<(), NotReady> {
+    if board.knows_owners.get().is_some() {
+        return Ok(());
+    }
+    let directory = board.directory.load();
+    let services = config.services.iter();
+    let shards = services.flat_map(|service| &service.shards);
+    let (mut known, mut all) = (0, 0);
+    for shard in shards {
+        all += 1;
+        let mut targets = shard.targets.iter();
+        let has_owner = targets.any(|target| directory.owner_of(target.addr).is_some());
+        known += usize::from(has_owner);
+    }
+    if all > 0 && known * 2 <= all {
+        return Err(NotReady::OwnersUnknown { known, shards: all });
+    }
+    // Another thread may have set it at the same moment.
+    let _ = board.knows_owners.set(());
     Ok(())
 }
--- a/crates/limpetshuntd/src/blackboard/board.rs
+++ b/crates/limpetshuntd/src/blackboard/board.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{
             AtomicU64,
             Ordering, //
@@ -68,6 +68,8 @@
     pub coordinates: ArcSwap<Vec<GroupId>>,
     /// Written by the grant controller.
     pub directory: ArcSwap<Directory>,
+    /// Set by the readiness check once the owners of most shards are known.
+    pub(crate) knows_owners: OnceLock<()>,
     /// Written by the grant controller; entries spend from it.
     pub(crate) shares: Mutex<Shares>,
     /// Signalled by the grant controller when tokens arrive.
@@ -93,6 +95,7 @@
             members: ArcSwap::default(),
             coordinates: ArcSwap::default(),
             directory: ArcSwap::default(),
+            knows_owners: OnceLock::new(),
             shares: Mutex::new(Shares::new()),
             shares_refilled: Notify::new(),
             owned: ArcSwap::default(),
--- a/crates/limpetshuntd/src/entry/admission.rs
+++ b/crates/limpetshuntd/src/entry/admission.rs
@@ -53,6 +53,7 @@
         if in_force.config.zone_is_out(&self.board.zone) {
             return refuse(RefusalCode::ZoneOut, "the zone of this entry is out");
         }
+        self.retain_configured(&in_force);
         Ok(in_force)
     }
 
--- a/crates/limpetshuntd/src/entry/limits.rs
+++ b/crates/limpetshuntd/src/entry/limits.rs
@@ -18,6 +18,10 @@
 /// Longest wait for a rate token.
 pub(super) const TOKEN_WAIT_MAX: Duration = Duration::from_millis(50);
 
+/// Default of the time for which a draining entry still accepts callers; a load balancer that checks
+/// readiness twice a second sees it fail before a connection is refused.
+pub const DRAIN_NOTICE_DEFAULT_MS: u64 = 1_000;
+
 /// Bounds of an entry.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryLimits {
@@ -25,6 +29,16 @@
     pub queue: Limits,
     /// Bounds of the memory for tickets.
     pub tickets: TicketLimits,
+    /// Time for which a draining entry still accepts callers, only to refuse them as not run.
+    pub drain_notice: Duration,
+}
+
+impl EntryLimits {
+    /// Sets the time for which a draining entry still accepts callers.
+    pub const fn with_drain_notice(mut self, drain_notice: Duration) -> Self {
+        self.drain_notice = drain_notice;
+        self
+    }
 }
 
 impl Default for EntryLimits {
@@ -36,6 +50,7 @@
                 queued_max: 4096,
             },
             tickets: TicketLimits::default(),
+            drain_notice: Duration::from_millis(DRAIN_NOTICE_DEFAULT_MS),
         }
     }
 }
--- a/crates/limpetshuntd/src/entry/mod.rs
+++ b/crates/limpetshuntd/src/entry/mod.rs
@@ -14,7 +14,10 @@
 mod shard_run;
 mod state;
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use limpet_types::message::{
     ForwardOrderReply,
@@ -31,7 +34,10 @@
     settings::RoleSettings,
 };
 
-pub use limits::EntryLimits;
+pub use limits::{
+    DRAIN_NOTICE_DEFAULT_MS,
+    EntryLimits, //
+};
 pub use state::Entry;
 
 /// Starts the server for callers.
@@ -44,13 +50,14 @@
         return Ok(());
     };
     let addr = settings.caller_addr;
+    let notice = Duration::from_millis(settings.drain_notice_ms);
     let listener = TcpListener::bind(addr)
         .await
         .map_err(|source| StartError::Bind { addr, source })?;
     let entry = Entry::new(
         Arc::clone(&context.board),
         context.peers.clone(),
-        EntryLimits::default(),
+        EntryLimits::default().with_drain_notice(notice),
     );
     entry.serve(listener);
     // `start` runs once for each process, so the cell is still empty.
--- a/crates/limpetshuntd/src/entry/server.rs
+++ b/crates/limpetshuntd/src/entry/server.rs
@@ -2,7 +2,8 @@
 
 use std::{
     convert::Infallible,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use hyper::{
@@ -24,6 +25,10 @@
 
 use crate::entry::state::Entry;
 
+/// Pause after a failed accept. File descriptors have run out; without a pause the loop would keep a
+/// core busy and fill the log.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Accepts callers until `stopped`, then waits for every connection.
 pub(super) async fn accept(
     entry: Arc<Entry>,
@@ -37,7 +42,10 @@
                 Ok((stream, _)) => {
                     connections.spawn(serve(Arc::clone(&entry), stream, stopped.clone()));
                 }
-                Err(error) => tracing::warn!(%error, "caller connection not accepted"),
+                Err(error) => {
+                    tracing::warn!(%error, "caller connection not accepted");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
             },
             Some(_) = connections.join_next() => {}
             _ = stopped.changed() => break,
--- a/crates/limpetshuntd/src/entry/state.rs
+++ b/crates/limpetshuntd/src/entry/state.rs
@@ -3,11 +3,13 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
     },
+    time::Duration,
 };
 
 use limpet_decide::{
@@ -35,7 +37,10 @@
 };
 
 use crate::{
-    blackboard::Blackboard,
+    blackboard::{
+        Blackboard,
+        InForce, //
+    },
     entry::{
         limits::EntryLimits,
         places::Places,
@@ -61,6 +66,9 @@
     views: Mutex<Views>,
     services: Mutex<HashMap<ServiceName, ServiceState>>,
     tickets: Mutex<TicketTable>,
+    /// Revision for which views and budgets were last reduced to what still exists.
+    retained_revision: AtomicU64,
+    drain_notice: Duration,
     in_flight: watch::Sender<usize>,
     stop: watch::Sender<bool>,
     accepting: Mutex<Option<JoinHandle<()>>>,
@@ -92,6 +100,8 @@
             views: Mutex::new(Views::new()),
             services: Mutex::new(HashMap::new()),
             tickets: Mutex::new(TicketTable::new(limits.tickets)),
+            retained_revision: AtomicU64::new(0),
+            drain_notice: limits.drain_notice,
             in_flight: watch::Sender::new(0),
             stop: watch::Sender::new(false),
             accepting: Mutex::new(None),
@@ -105,11 +115,14 @@
         *lock(&self.accepting) = Some(accepting);
     }
 
-    /// Waits until no request is in flight, then closes the connections.
+    /// Waits for the drain notice and until no request is in flight, then closes the connections.
     ///
-    /// The phase must be draining already: new requests are refused as not run meanwhile.
+    /// The phase must be draining already: new requests are refused as not run meanwhile, and each
+    /// refusal closes its connection. The notice keeps the listener open until the load balancer
+    /// has seen readiness fail; a refused connection would look like a dead VM to callers.
     pub async fn drain(&self) {
         debug_assert_eq!(self.board.phase(), Phase::Draining);
+        tokio::time::sleep(self.drain_notice).await;
         let mut in_flight = self.in_flight.subscribe();
         // The sender lives in `self`, so the wait cannot fail.
         let _ = in_flight.wait_for(|count| *count == 0).await;
@@ -130,6 +143,24 @@
         InFlight(&self.in_flight)
     }
 
+    /// Forgets targets and services that a new configuration no longer has.
+    ///
+    /// Called for each request and does work once for each revision.
+    pub(super) fn retain_configured(&self, in_force: &InForce) {
+        let revision = in_force.revision;
+        if self.retained_revision.swap(revision, Ordering::AcqRel) == revision {
+            return;
+        }
+        let config = &in_force.config;
+        self.views().retain(|addr| config.target(addr).is_some());
+        lock(&self.services).retain(|name, _| config.service(name).is_some());
+    }
+
+    /// Returns the number of targets that the entry remembers.
+    pub fn remembered_targets(&self) -> usize {
+        self.views().len()
+    }
+
     pub(super) fn views(&self) -> MutexGuard<'_, Views> {
         lock(&self.views)
     }
--- a/crates/limpetshuntd/src/settings.rs
+++ b/crates/limpetshuntd/src/settings.rs
@@ -11,6 +11,8 @@
     Subcommand, //
 };
 
+use crate::entry::DRAIN_NOTICE_DEFAULT_MS;
+
 /// Query tier over many shards.
 #[derive(Clone, Debug, Parser)]
 #[command(name = "limpetshuntd", version)]
@@ -77,6 +79,10 @@
     /// Address on which callers are served.
     #[arg(long, env = "LIMPET_CALLER_ADDR")]
     pub caller_addr: SocketAddr,
+    /// Time in milliseconds for which a draining entry still accepts callers and refuses their
+    /// requests as not run, so that the load balancer sees readiness fail first.
+    #[arg(long, env = "LIMPET_DRAIN_NOTICE_MS", default_value_t = DRAIN_NOTICE_DEFAULT_MS)]
+    pub drain_notice_ms: u64,
 }
 
 /// Settings of the relay role.
--- a/crates/limpetshuntd/tests/admin.rs
+++ b/crates/limpetshuntd/tests/admin.rs
@@ -22,7 +22,10 @@
 };
 use limpetshuntd::{
     Blackboard, Settings, admin,
-    blackboard::InForce,
+    blackboard::{
+        Directory,
+        InForce, //
+    },
     controllers::Controllers,
     daemon::{
         Context,
@@ -93,6 +96,22 @@
         board.fresh_until_us.store(u64::MAX / 2, Ordering::Release);
     }
 
+    /// Makes an owner of the last replica of one in `step` shards known.
+    fn own(&self, step: usize) {
+        let board = &self.context.board;
+        let in_force = board.in_force().unwrap();
+        let services = in_force.config.services.iter();
+        let shards = services.flat_map(|service| &service.shards);
+        let mut directory = Directory::default();
+        for (index, shard) in shards.enumerate() {
+            if index % step == step - 1 {
+                let target = shard.targets.last().unwrap();
+                directory = directory.with_owner(target.addr, board.node);
+            }
+        }
+        board.directory.store(Arc::new(directory));
+    }
+
     async fn get(&self, path: &str) -> (u16, String) {
         let mut stream = TcpStream::connect(self.addr).await.unwrap();
         let request = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
@@ -116,7 +135,23 @@
     );
     admin.install(TEXT);
     admin.serve_fresh();
+    let (status, body) = admin.get("/ready").await;
+    assert_eq!(
+        (
+            status,
+            body.starts_with("owners_unknown: an owner is known for 0 of")
+        ),
+        (503, true),
+        "{body}"
+    );
+    admin.own(2);
+    let (status, _) = admin.get("/ready").await;
+    assert_eq!(status, 503, "half of the shards is not most of them");
+    admin.own(1);
     assert_eq!(admin.get("/ready").await, (200, "ready\n".into()));
+    admin.context.board.directory.store(Arc::default());
+    let (status, _) = admin.get("/ready").await;
+    assert_eq!(status, 200, "lost relays take no entry out of service");
     admin
         .context
         .board
--- /dev/null
+++ b/crates/limpetshuntd/tests/entry_drain.rs
@@ -0,0 +1,64 @@
+//! Guards against a caller that is cut off while a load balancer still sends to a draining entry, and
+//! against memory for targets that the configuration no longer has.
+
+mod support;
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use limpet_types::Phase;
+use limpetshuntd::{
+    blackboard::InForce,
+    entry::EntryLimits, //
+};
+use support::{
+    Fleet,
+    LONG,
+    answer,
+    config,
+    handler, //
+};
+use tokio::net::TcpStream;
+
+async fn fleet(drain_notice: Duration) -> Fleet {
+    let relay = handler(|request| async move { answer(&request, 1, true) });
+    let limits = EntryLimits::default().with_drain_notice(drain_notice);
+    Fleet::start(config(2, 1), vec![relay], limits).await
+}
+
+#[tokio::test]
+async fn a_draining_entry_refuses_new_connections_only_after_the_notice() {
+    let fleet = fleet(Duration::from_secs(1)).await;
+    fleet.board.phase.send_replace(Phase::Draining);
+    let entry = Arc::clone(&fleet.entry);
+    let drain = tokio::spawn(async move { entry.drain().await });
+    // Lets the drain run up to its first wait.
+    tokio::task::yield_now().await;
+    let refused = fleet.caller().await.send("search", &[]).await;
+    refused.assert_refused("draining", true);
+    assert_eq!(refused.headers["connection"], "close");
+    tokio::time::timeout(LONG, drain).await.unwrap().unwrap();
+    let connected = TcpStream::connect(fleet.callers).await;
+    assert!(connected.is_err(), "the listener outlives the drain");
+}
+
+#[tokio::test]
+async fn a_target_that_left_the_configuration_is_forgotten() {
+    let fleet = fleet(Duration::ZERO).await;
+    let mut caller = fleet.caller().await;
+    assert_eq!(caller.send("search", &[]).await.status, 200);
+    assert_eq!(fleet.entry.remembered_targets(), 2);
+    let mut config = config(2, 1);
+    config.services[0].shards[1].targets.clear();
+    fleet.board.config.store(Some(Arc::new(InForce {
+        revision: 2,
+        digest: [0; 32],
+        text: "".into(),
+        config: config.with_index(),
+    })));
+    caller.send("search", &[]).await;
+    let remembered = fleet.entry.remembered_targets();
+    assert_eq!(remembered, 1, "the target still configured, and no other");
+}
