Count bytes and messages between peers by kind

Cause: the control budget of 8 KB/s for each node could not be checked in a running fleet, because no metric told the bytes of gossip, grants and votes.

Change: PeerClient and the server count each message body that they write or read in limpet_peer_messages_total and limpet_peer_bytes_total, with the labels direction and kind.

Ruled out: counting on the socket, which cannot tell kinds apart; h2 frames and TCP headers are therefore not counted.

The CPU cost of the counters was not measured.

Conclusion: the bytes of control can be read from /metrics of each process.

--- a/crates/limpet-peer/src/client.rs
+++ b/crates/limpet-peer/src/client.rs
@@ -28,6 +28,7 @@
         PeerError,
         PeerErrorKind, //
     },
+    traffic,
 };
 
 /// Longest wait for a new connection.
@@ -73,13 +74,15 @@
         request: &PeerRequest,
         timeout: Duration,
     ) -> Result<PeerReply, PeerError> {
+        let kind = traffic::request_kind(request);
         let body = codec::encode(request)
             .map_err(|error| PeerError::new(PeerErrorKind::NotSent, peer, error))?;
         let started = tokio::time::Instant::now();
         let connection = self.connection(peer, timeout.min(CONNECT_TIMEOUT)).await?;
         let sent_us = connection.elapsed_us();
         let time_left = timeout.saturating_sub(started.elapsed());
-        match tokio::time::timeout(time_left, exchange(&connection, peer, body.into())).await {
+        match tokio::time::timeout(time_left, exchange(&connection, peer, kind, body.into())).await
+        {
             Ok(result) => {
                 if result.is_err() {
                     connection.retire();
@@ -133,6 +136,7 @@
 async fn exchange(
     connection: &Connection,
     peer: SocketAddr,
+    kind: &'static str,
     body: Bytes,
 ) -> Result<PeerReply, PeerError> {
     let not_sent = |error: h2::Error| PeerError::new(PeerErrorKind::NotSent, peer, error);
@@ -142,9 +146,12 @@
         .body(())
         .map_err(|error| PeerError::new(PeerErrorKind::NotSent, peer, error))?;
     let (reply, mut stream) = sender.send_request(request, false).map_err(not_sent)?;
+    let size_bytes = body.len();
     write_body(&mut stream, body).await.map_err(broken)?;
+    traffic::note_sent(kind, size_bytes);
     let reply = reply.await.map_err(broken)?;
     let body = read_body(reply.into_body()).await.map_err(broken)?;
     connection.note_reply();
+    traffic::note_received(kind, body.len());
     codec::decode(&body).map_err(|error| PeerError::new(PeerErrorKind::Codec, peer, error))
 }
--- a/crates/limpet-peer/src/lib.rs
+++ b/crates/limpet-peer/src/lib.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod error;
 mod server;
+mod traffic;
 
 pub use client::PeerClient;
 pub use error::{
--- a/crates/limpet-peer/src/server.rs
+++ b/crates/limpet-peer/src/server.rs
@@ -37,9 +37,12 @@
     },
 };
 
-use crate::body::{
-    read_body,
-    write_body, //
+use crate::{
+    body::{
+        read_body,
+        write_body, //
+    },
+    traffic,
 };
 
 /// Streams that one peer may have open at a time.
@@ -176,6 +179,7 @@
             return;
         }
     };
+    traffic::note_received(traffic::request_kind(&request), body.len());
     let reply = tokio::select! {
         reply = handler(request) => reply,
         _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
@@ -191,5 +195,8 @@
         return Ok(());
     };
     let mut stream = respond.send_response(Response::new(()), false)?;
-    write_body(&mut stream, body.into()).await
+    let size_bytes = body.len();
+    write_body(&mut stream, body.into()).await?;
+    traffic::note_sent(traffic::reply_kind(reply), size_bytes);
+    Ok(())
 }
--- /dev/null
+++ b/crates/limpet-peer/src/traffic.rs
@@ -0,0 +1,47 @@
+//! Counters of the bytes and messages exchanged with peers, by kind of message.
+
+use limpet_types::message::{
+    PeerReply,
+    PeerRequest, //
+};
+
+/// Counts a message written to a peer; the size is that of its body, without frames.
+pub(crate) fn note_sent(kind: &'static str, size_bytes: usize) {
+    note("sent", kind, size_bytes);
+}
+
+/// Counts a message read from a peer; the size is that of its body, without frames.
+pub(crate) fn note_received(kind: &'static str, size_bytes: usize) {
+    note("received", kind, size_bytes);
+}
+
+/// Returns the label of a request.
+pub(crate) const fn request_kind(request: &PeerRequest) -> &'static str {
+    match request {
+        PeerRequest::Attempt(_) => "attempt",
+        PeerRequest::Vote(_) => "vote",
+        PeerRequest::Grant(_) => "grant",
+        PeerRequest::Gossip(_) => "gossip",
+        PeerRequest::ForwardOrder(_) => "forward_order",
+        PeerRequest::Status => "status",
+    }
+}
+
+/// Returns the label of a reply; that of its request if the peer served it.
+pub(crate) const fn reply_kind(reply: &PeerReply) -> &'static str {
+    match reply {
+        PeerReply::Attempt(_) => "attempt",
+        PeerReply::Vote(_) => "vote",
+        PeerReply::Grant(_) => "grant",
+        PeerReply::Gossip(_) => "gossip",
+        PeerReply::ForwardOrder(_) => "forward_order",
+        PeerReply::Status(_) => "status",
+        PeerReply::Unsupported => "unsupported",
+    }
+}
+
+fn note(direction: &'static str, kind: &'static str, size_bytes: usize) {
+    let labels = [("direction", direction), ("kind", kind)];
+    metrics::counter!("limpet_peer_messages_total", &labels).increment(1);
+    metrics::counter!("limpet_peer_bytes_total", &labels).increment(size_bytes as u64);
+}
