Measure the cost of control over the size of a fleet

Cause: docs/CAPACITY.md needs slopes over VMs, targets and configuration changes, and nothing measured them.

Conclusion: one command writes the points behind the capacity page.

--- a/crates/limpet-bench/src/example/mod.rs
+++ b/crates/limpet-bench/src/example/mod.rs
@@ -54,6 +54,18 @@
     /// Port of every target.
     #[arg(long, env = "LIMPET_BENCH_TARGET_PORT", default_value_t = TARGET_PORT_DEFAULT)]
     pub target_port: u16,
+    /// Factor on the number of shards of each service.
+    #[arg(long, env = "LIMPET_BENCH_SHARDS_FACTOR", default_value_t = 1)]
+    pub shards_factor: usize,
+    /// Most relay processes at one instant; that of the example if absent.
+    #[arg(long, env = "LIMPET_BENCH_VMS_MAX")]
+    pub vms_max: Option<u32>,
+    /// Switch hedging off in every service.
+    #[arg(long, env = "LIMPET_BENCH_NO_HEDGE")]
+    pub no_hedge: bool,
+    /// Share of the attempts that take ten times as long at the stand-in targets.
+    #[arg(long, env = "LIMPET_BENCH_STRAGGLER_SHARE", default_value_t = 0.0)]
+    pub straggler_share: f64,
 }
 
 /// Returns the address of a target by its position in the text.
@@ -68,14 +80,29 @@
 ///
 /// Fails when a file cannot be written.
 pub fn run(arguments: &ExampleArguments) -> Result<bool, Box<dyn std::error::Error>> {
-    let shape = ExampleShape::of_user(arguments.user);
-    let text = render(&shape, arguments.target_port);
+    let mut shape =
+        ExampleShape::of_user(arguments.user).with_shards_factor(arguments.shards_factor);
+    shape.vms_max = arguments.vms_max.unwrap_or(shape.vms_max);
+    let mut text = render(&shape, arguments.target_port);
+    if arguments.no_hedge {
+        text = text.replace(
+            "
+hedge = true
+",
+            "
+hedge = false
+",
+        );
+    }
     match &arguments.text {
         Some(path) => std::fs::write(path, &text)?,
         None => print!("{text}"),
     }
     if let Some(path) = &arguments.targets {
-        let specs = target_specs(&shape, arguments.target_port);
+        let mut specs = target_specs(&shape, arguments.target_port);
+        for spec in &mut specs {
+            spec.straggler_share = arguments.straggler_share;
+        }
         std::fs::write(path, serde_json::to_vec_pretty(&specs)?)?;
     }
     Ok(true)
--- a/crates/limpet-bench/src/example/shape.rs
+++ b/crates/limpet-bench/src/example/shape.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// Multiplies the number of shards of each service.
+    pub fn with_shards_factor(mut self, factor: usize) -> Self {
+        for service in &mut self.services {
+            service.replicas = service.replicas.repeat(factor);
+        }
+        self
+    }
+
     /// Returns the number of targets.
     pub fn targets_len(&self) -> usize {
         let replicas = self.services.iter().flat_map(|service| &service.replicas);
--- a/crates/limpet-bench/src/idle.rs
+++ b/crates/limpet-bench/src/idle.rs
@@ -88,7 +88,8 @@
     Ok(figures)
 }
 
-fn cpu_s(pid: u32) -> io::Result<f64> {
+/// Returns the CPU time that a process has used.
+pub(crate) fn cpu_s(pid: u32) -> io::Result<f64> {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
     // The name in parentheses may hold spaces; user and system time are fields 14 and 15.
     let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
@@ -101,7 +102,8 @@
     Ok(ticks as f64 / TICKS_PER_S)
 }
 
-fn resident_bytes(pid: u32) -> io::Result<u64> {
+/// Returns the resident memory of a process.
+pub(crate) fn resident_bytes(pid: u32) -> io::Result<u64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kib = line
--- a/crates/limpet-bench/src/lib.rs
+++ b/crates/limpet-bench/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod idle;
 pub mod load;
 pub mod ports;
+pub mod slopes;
--- a/crates/limpet-bench/src/main.rs
+++ b/crates/limpet-bench/src/main.rs
@@ -11,7 +11,8 @@
     fanout,
     idle,
     load,
-    ports, //
+    ports,
+    slopes, //
 };
 
 /// Explanation after the list of commands.
@@ -52,6 +53,8 @@
     Idle(idle::IdleArguments),
     /// Write an example configuration and the description of its stand-in targets.
     Example(example::ExampleArguments),
+    /// Measure one point of a fleet's control cost, or fit lines through points.
+    Slopes(slopes::SlopesArguments),
     /// Print ports that are free on every loopback address.
     Ports(ports::PortsArguments),
 }
@@ -63,6 +66,7 @@
         Command::Fanout(arguments) => fanout::run(arguments).await,
         Command::Idle(arguments) => idle::run(arguments).await,
         Command::Example(arguments) => example::run(&arguments),
+        Command::Slopes(arguments) => slopes::run(arguments).await,
         Command::Ports(arguments) => ports::run(&arguments),
     };
     match result {
--- /dev/null
+++ b/crates/limpet-bench/src/slopes/arguments.rs
@@ -0,0 +1,109 @@
+//! Arguments of `slopes`.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    str::FromStr, //
+};
+
+use clap::{
+    Args,
+    Subcommand, //
+};
+
+/// Arguments of `slopes`.
+#[derive(Clone, Debug, Args)]
+pub struct SlopesArguments {
+    /// Step of the measurement.
+    #[command(subcommand)]
+    pub step: SlopesStep,
+}
+
+/// Step of the measurement.
+#[derive(Clone, Debug, Subcommand)]
+pub enum SlopesStep {
+    /// Measure a running fleet and write one point.
+    Point(PointArguments),
+    /// Fit lines through points.
+    Fit(FitArguments),
+}
+
+/// Arguments of `slopes point`.
+#[derive(Clone, Debug, Args)]
+pub struct PointArguments {
+    /// Process as ROLE:PID:ADMIN_ADDRESS, with the role entry or relay; may be repeated.
+    #[arg(long, required = true)]
+    pub node: Vec<NodeAddr>,
+    /// Address of the stand-in for the platform.
+    #[arg(long)]
+    pub platform: SocketAddr,
+    /// File with the text in force; changes are made from it.
+    #[arg(long)]
+    pub text: PathBuf,
+    /// Port of every target.
+    #[arg(long)]
+    pub target_port: u16,
+    /// Requests per second that another process sends meanwhile; kept with the point.
+    #[arg(long, default_value_t = 0.0)]
+    pub load_per_s: f64,
+    /// Configuration changes per second during the measurement.
+    #[arg(long, default_value_t = 0.0)]
+    pub changes_per_s: f64,
+    /// Time of the measurement, in seconds.
+    #[arg(long, default_value_t = 10)]
+    pub duration_s: u64,
+    /// Changes whose spread is timed after the measurement.
+    #[arg(long, default_value_t = 0)]
+    pub timed_changes: u32,
+    /// File for the point (JSON).
+    #[arg(long)]
+    pub output: PathBuf,
+}
+
+/// Arguments of `slopes fit`.
+#[derive(Clone, Debug, Args)]
+pub struct FitArguments {
+    /// Files with points.
+    #[arg(required = true)]
+    pub points: Vec<PathBuf>,
+    /// File for the points and lines (JSON); printed if absent.
+    #[arg(long)]
+    pub output: Option<PathBuf>,
+}
+
+/// Why a process is not understood.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?} is not ROLE:PID:ADMIN_ADDRESS with the role entry or relay")]
+pub struct NodeAddrError(Box<str>);
+
+/// A process to be measured.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeAddr {
+    /// Whether it is an entry; else a relay.
+    pub is_entry: bool,
+    /// Process id.
+    pub pid: u32,
+    /// Address of its metrics.
+    pub admin: SocketAddr,
+}
+
+impl FromStr for NodeAddr {
+    type Err = NodeAddrError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parse = || {
+            let mut parts = text.splitn(3, ':');
+            let is_entry = match parts.next()? {
+                "entry" => true,
+                "relay" => false,
+                _ => return None,
+            };
+            Some(Self {
+                is_entry,
+                pid: parts.next()?.parse().ok()?,
+                admin: parts.next()?.parse().ok()?,
+            })
+        };
+        parse().ok_or_else(|| NodeAddrError(text.into()))
+    }
+}
--- /dev/null
+++ b/crates/limpet-bench/src/slopes/mod.rs
@@ -0,0 +1,40 @@
+//! Cost of control against the size of a fleet: points and lines through them.
+
+mod arguments;
+mod fit;
+mod lines;
+mod point;
+mod scrape;
+
+pub use arguments::{
+    FitArguments,
+    NodeAddr,
+    NodeAddrError,
+    PointArguments,
+    SlopesArguments,
+    SlopesStep, //
+};
+pub use fit::{
+    Fit,
+    fit, //
+};
+pub use lines::{
+    Line,
+    lines, //
+};
+pub use point::{
+    ClassFigures,
+    Point, //
+};
+
+/// Measures a point or fits lines.
+///
+/// # Errors
+///
+/// Fails when a process cannot be read or a file cannot be read or written.
+pub async fn run(arguments: SlopesArguments) -> Result<bool, Box<dyn std::error::Error>> {
+    match arguments.step {
+        SlopesStep::Point(arguments) => point::run(&arguments).await,
+        SlopesStep::Fit(arguments) => lines::run(&arguments),
+    }
+}
--- /dev/null
+++ b/crates/limpet-bench/tests/slopes.rs
@@ -0,0 +1,92 @@
+//! Guards against lines that misstate a slope, and against lines through points that differ in two
+//! sizes at once.
+
+use limpet_bench::slopes::{
+    ClassFigures,
+    NodeAddr,
+    Point,
+    fit,
+    lines, //
+};
+
+limpet_testkit::cases! {
+    a_line_is_found_again:
+    rising => (2.0, 0.5, &[2.0, 4.0, 8.0, 16.0, 32.0]),
+    falling => (100.0, -3.0, &[0.0, 1.0, 7.0]),
+    flat => (4.5, 0.0, &[1.0, 2.0]),
+    far_from_zero => (-7.0, 0.25, &[1e9, 1e9 + 8.0, 1e9 + 64.0]),
+}
+
+fn a_line_is_found_again((intercept, slope, xs): (f64, f64, &[f64])) {
+    let points: Vec<_> = xs.iter().map(|x| (*x, intercept + slope * x)).collect();
+    let line = fit(&points).unwrap();
+    let scale = 1.0 + xs.iter().copied().fold(0.0, f64::max);
+    assert!((line.slope - slope).abs() < 1e-6, "{line:?}");
+    assert!(
+        (line.intercept - intercept).abs() < 1e-6 * scale,
+        "{line:?}"
+    );
+    assert!(line.residual_rms < 1e-6 * scale, "{line:?}");
+    assert_eq!(line.points, xs.len());
+}
+
+limpet_testkit::cases! {
+    no_line_without_two_sizes:
+    nothing => &[],
+    one_point => &[(1.0, 1.0)],
+    one_size => &[(3.0, 1.0), (3.0, 2.0)],
+}
+
+fn no_line_without_two_sizes(points: &[(f64, f64)]) {
+    assert_eq!(fit(points), None);
+}
+
+#[test]
+fn the_residual_is_the_distance_of_the_points() {
+    // The best line through these is y = 1; each point is 1 away from it.
+    let line = fit(&[(0.0, 0.0), (1.0, 2.0), (2.0, 2.0), (3.0, 0.0)]).unwrap();
+    assert!(line.slope.abs() < 1e-12);
+    assert!((line.intercept - 1.0).abs() < 1e-12);
+    assert!((line.residual_rms - 1.0).abs() < 1e-12);
+}
+
+fn point(vms: usize, targets: usize, load_per_s: f64, cpu_cores: f64) -> Point {
+    let mut point = Point {
+        vms,
+        targets,
+        load_per_s,
+        ..Point::default()
+    };
+    let figures = ClassFigures::from([("cpu_cores".into(), cpu_cores)]);
+    point.classes.insert("relay".into(), figures);
+    point
+}
+
+#[test]
+fn a_line_over_vms_takes_no_point_with_other_targets_or_load() {
+    let points = [
+        point(2, 105, 0.0, 0.2),
+        point(4, 105, 0.0, 0.4),
+        point(8, 105, 0.0, 0.8),
+        point(8, 5_000, 0.0, 9.0),
+        point(8, 105, 20.0, 7.0),
+    ];
+    let lines = lines(&points);
+    let of = |over: &str| lines.iter().find(|line| line.over == over).unwrap();
+    assert_eq!(of("vms").points, [(2.0, 0.2), (4.0, 0.4), (8.0, 0.8)]);
+    assert!((of("vms").fit.slope - 0.1).abs() < 1e-9);
+    assert_eq!(of("targets").points, [(105.0, 0.8), (5_000.0, 9.0)]);
+    assert_eq!(of("load_per_s").points, [(0.0, 0.8), (20.0, 7.0)]);
+}
+
+limpet_testkit::cases! {
+    a_process_that_cannot_be_measured_is_refused:
+    unknown_role => "client:1:127.0.0.1:1",
+    no_pid => "entry::127.0.0.1:1",
+    no_address => "relay:17",
+    no_port => "relay:17:127.0.0.1",
+}
+
+fn a_process_that_cannot_be_measured_is_refused(text: &str) {
+    assert!(text.parse::<NodeAddr>().is_err());
+}
