Add schedules of faults and a plot to the load tool

Cause: faults and operator changes during a load were made by hand, so no experiment could be repeated.

Ruled out: killing processes from the load tool, which does not know them; a fault that slows targets, because the stand-in has none.

--- a/crates/limpet-bench/src/load/arguments.rs
+++ b/crates/limpet-bench/src/load/arguments.rs
@@ -54,6 +54,22 @@
     /// File for the report; printed if absent.
     #[arg(long, env = "LIMPET_BENCH_OUTPUT")]
     pub output: Option<PathBuf>,
+    /// File with a schedule of faults and operator changes (JSON).
+    #[arg(long, env = "LIMPET_BENCH_SCHEDULE")]
+    pub schedule: Option<PathBuf>,
+    /// File with the configuration text in force; a schedule edits it.
+    #[arg(long, env = "LIMPET_BENCH_TEXT")]
+    pub text: Option<PathBuf>,
+    /// Address of the stand-in for the platform; a schedule puts the edited text there.
+    #[arg(long, env = "LIMPET_BENCH_PLATFORM")]
+    pub platform: Option<SocketAddr>,
+    /// Control address of the stand-in targets; a schedule sends faults there, and the
+    /// report counts the attempts that arrived by zone.
+    #[arg(long, env = "LIMPET_BENCH_TARGET_CONTROL")]
+    pub target_control: Option<SocketAddr>,
+    /// File for a plot of outcomes and latency by second (SVG).
+    #[arg(long, env = "LIMPET_BENCH_PLOT")]
+    pub plot: Option<PathBuf>,
 }
 
 impl LoadArguments {
--- a/crates/limpet-bench/src/load/mod.rs
+++ b/crates/limpet-bench/src/load/mod.rs
@@ -1,11 +1,15 @@
 //! Load at given rates over several entries.
 
 mod arguments;
+mod arrivals;
 mod balancer;
 mod check;
 mod client;
+mod plot;
 mod report;
+mod schedule;
 mod sender;
+mod timeline;
 
 use std::{
     sync::Arc,
@@ -15,6 +19,8 @@
     },
 };
 
+use limpet_types::BootClock;
+
 pub use arguments::{
     EntryAddr,
     LoadArguments,
@@ -22,6 +28,7 @@
     LookupNeed,
     TeamLoad, //
 };
+pub use arrivals::ZoneArrivals;
 pub use check::{
     Outcome,
     classify, //
@@ -32,6 +39,14 @@
     Latency,
     Report, //
 };
+pub use schedule::{
+    Change,
+    ScheduleError,
+    Step,
+    edit_text,
+    parse_schedule, //
+};
+pub use timeline::Second;
 
 use crate::load::{
     balancer::Balancer,
@@ -51,10 +66,27 @@
     let checking = balancer.check_readiness_until(arguments.ready_timeout());
     checking.await?;
     let checker = tokio::spawn(Arc::clone(&balancer).keep_checking());
-    let tally = Arc::new(Tally::new(&arguments.team));
-    let started = Instant::now();
+    let (started, started_since_boot) = (Instant::now(), BootClock::new().now());
+    let tally = Arc::new(Tally::new(&arguments.team, started));
     let end = started + Duration::from_secs(arguments.duration_s);
     let sender = Sender::new(&arguments, Arc::clone(&balancer), Arc::clone(&tally));
+    let faults = match &arguments.schedule {
+        Some(schedule) => {
+            let steps = schedule::read(schedule)?;
+            let (Some(text), Some(platform), Some(targets)) = (
+                &arguments.text,
+                arguments.platform,
+                arguments.target_control,
+            ) else {
+                return Err("a schedule needs --text, --platform and --target-control".into());
+            };
+            let text = std::fs::read_to_string(text)?;
+            Some(tokio::spawn(schedule::run(
+                steps, text, platform, targets, started,
+            )))
+        }
+        None => None,
+    };
     let mut loads: Vec<_> = (0..arguments.team.len())
         .map(|team| tokio::spawn(sender.clone().run_team(team, end)))
         .collect();
@@ -67,9 +99,19 @@
     for load in loads.drain(..) {
         load.await?;
     }
+    if let Some(faults) = faults {
+        faults.await??;
+    }
     balancer.stop();
     checker.await?;
-    let report = tally.report(started.elapsed());
+    let mut report = tally.report(started.elapsed());
+    if let (Some(text), Some(control)) = (&arguments.text, arguments.target_control) {
+        let text = std::fs::read_to_string(text)?;
+        report.zone_arrivals = arrivals::count(&text, control, started_since_boot).await?;
+    }
+    if let Some(path) = &arguments.plot {
+        plot::write(path, &report.seconds)?;
+    }
     eprint!("{}", report.summary());
     let json = serde_json::to_string_pretty(&report)?;
     match &arguments.output {
--- a/crates/limpet-bench/src/load/report.rs
+++ b/crates/limpet-bench/src/load/report.rs
@@ -8,7 +8,10 @@
         MutexGuard,
         PoisonError, //
     },
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use hdrhistogram::Histogram;
@@ -16,7 +19,12 @@
 
 use crate::load::{
     arguments::TeamLoad,
-    check::Outcome, //
+    arrivals::ZoneArrivals,
+    check::Outcome,
+    timeline::{
+        Second,
+        Timeline, //
+    }, //
 };
 
 /// Most faults that the report names.
@@ -40,7 +48,7 @@
 }
 
 /// Latency of answered requests, in microseconds.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Latency {
     /// Median.
     pub p50_us: u64,
@@ -96,6 +104,10 @@
     pub not_connected: u64,
     /// The first wrong responses.
     pub faults: Vec<Box<str>>,
+    /// Outcomes by the second in which the request was due.
+    pub seconds: Vec<Second>,
+    /// Attempts at the stand-in targets, if their control address was given.
+    pub zone_arrivals: ZoneArrivals,
 }
 
 impl Report {
@@ -165,24 +177,27 @@
     no_entry: u64,
     not_connected: u64,
     faults: Vec<Box<str>>,
+    timeline: Timeline,
 }
 
 /// Collects the endings of a load.
 #[derive(Debug)]
 pub(crate) struct Tally {
     teams: Vec<Box<str>>,
+    started: Instant,
     counts: Mutex<Counts>,
 }
 
 impl Tally {
-    /// Creates an empty tally.
-    pub(crate) fn new(teams: &[TeamLoad]) -> Self {
+    /// Creates an empty tally of a load that starts at `started`.
+    pub(crate) fn new(teams: &[TeamLoad], started: Instant) -> Self {
         let counts = Counts {
             teams: vec![Figures::default(); teams.len()],
             ..Counts::default()
         };
         Self {
             teams: teams.iter().map(|team| team.name.clone()).collect(),
+            started,
             counts: Mutex::new(counts),
         }
     }
@@ -191,10 +206,13 @@
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Adds one request.
-    pub(crate) fn note(&self, team: usize, lookup: &str, latency: Duration, ending: Ending) {
+    /// Adds one request that was due at `due`.
+    pub(crate) fn note(&self, team: usize, lookup: &str, due: Instant, ending: Ending) {
+        let latency_us = u64::try_from(due.elapsed().as_micros()).unwrap_or(LATENCY_MAX_US);
         let mut counts = self.lock();
         let counts = &mut *counts;
+        let due = due.saturating_duration_since(self.started);
+        counts.timeline.note(due, latency_us, &ending);
         match &ending {
             Ending::NoEntry => counts.no_entry += 1,
             Ending::NotConnected => counts.not_connected += 1,
@@ -208,10 +226,9 @@
             }
             Ending::Judged(Outcome::Refused { not_run: false, .. }) => counts.maybe_run += 1,
             Ending::Judged(Outcome::Complete | Outcome::Partial) => {
-                let us = u64::try_from(latency.as_micros()).unwrap_or(LATENCY_MAX_US);
-                record(counts.latency.get_or_insert_with(new_histogram), us);
+                record(counts.latency.get_or_insert_with(new_histogram), latency_us);
                 let by_lookup = counts.lookup_latency.entry(lookup.into());
-                record(by_lookup.or_insert_with(new_histogram), us);
+                record(by_lookup.or_insert_with(new_histogram), latency_us);
             }
             Ending::Judged(Outcome::Refused { .. }) => {}
         }
@@ -273,6 +290,8 @@
             no_entry: counts.no_entry,
             not_connected: counts.not_connected,
             faults: counts.faults.clone(),
+            seconds: counts.timeline.seconds(),
+            zone_arrivals: ZoneArrivals::new(),
         }
     }
 }
@@ -308,7 +327,8 @@
         .unwrap_or_else(|_| unreachable!("the bounds and three significant digits are allowed"))
 }
 
-fn record(histogram: &mut Histogram<u64>, us: u64) {
+/// Adds a latency, cut at the largest that is told apart.
+pub(crate) fn record(histogram: &mut Histogram<u64>, us: u64) {
     histogram.saturating_record(us.min(LATENCY_MAX_US));
 }
 
--- /dev/null
+++ b/crates/limpet-bench/src/load/schedule.rs
@@ -0,0 +1,221 @@
+//! Schedule of faults and operator changes during a load.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use http::{
+    Request,
+    Response, //
+};
+use http_body_util::Full;
+use limpet_fakes::target::Fault;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::load::client::PooledClient;
+
+/// One change of a schedule.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Change {
+    /// An operator takes a zone out.
+    ZoneOut {
+        /// Name of the zone.
+        zone: Box<str>,
+    },
+    /// An operator brings a zone back.
+    ZoneIn {
+        /// Name of the zone.
+        zone: Box<str>,
+    },
+    /// An operator revokes every API key of a team.
+    RevokeKeys {
+        /// Name of the team.
+        team: Box<str>,
+    },
+    /// Targets get a fault.
+    Fault {
+        /// Names of the targets.
+        targets: Vec<Box<str>>,
+        /// What happens to each.
+        fault: Fault,
+    },
+}
+
+/// A change with its time after the start of the load.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// Seconds after the start.
+    pub at_s: f64,
+    /// What happens.
+    pub change: Change,
+}
+
+/// Why a schedule cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ScheduleError {
+    /// The file cannot be read.
+    #[error("schedule cannot be read: {0}")]
+    Read(#[from] std::io::Error),
+    /// The file is no schedule.
+    #[error("schedule is not understood: {0}")]
+    Format(#[from] serde_json::Error),
+    /// A time is negative, not finite or before that of the step above.
+    #[error("step {index}: at_s = {at_s} must not be negative or before the step above")]
+    Time {
+        /// Position from 0.
+        index: usize,
+        /// Time given.
+        at_s: f64,
+    },
+    /// The text has no such zone or team.
+    #[error("the text has no {kind} {name:?}")]
+    Unknown {
+        /// `zone` or `team`.
+        kind: &'static str,
+        /// Name given.
+        name: Box<str>,
+    },
+    /// A stand-in refused the change.
+    #[error("{addr} refused the change: {reason}")]
+    Refused {
+        /// Address of the stand-in.
+        addr: SocketAddr,
+        /// Its answer.
+        reason: Box<str>,
+    },
+}
+
+/// Parses a schedule: a JSON list of steps in the order of their times.
+///
+/// # Errors
+///
+/// Fails on unknown names and on times out of order.
+///
+/// # Examples
+///
+/// ```
+/// let text = r#"[{"at_s": 2.5, "change": {"zone_out": {"zone": "zone-b"}}}]"#;
+/// assert_eq!(limpet_bench::load::parse_schedule(text).unwrap().len(), 1);
+/// ```
+pub fn parse_schedule(text: &str) -> Result<Vec<Step>, ScheduleError> {
+    let steps: Vec<Step> = serde_json::from_str(text)?;
+    let mut earliest_s = 0.0;
+    for (index, step) in steps.iter().enumerate() {
+        if !step.at_s.is_finite() || step.at_s < earliest_s {
+            let at_s = step.at_s;
+            return Err(ScheduleError::Time { index, at_s });
+        }
+        earliest_s = step.at_s;
+    }
+    Ok(steps)
+}
+
+/// Returns the text after an operator's change; `None` if the change is a fault of targets.
+///
+/// # Errors
+///
+/// Fails when the text has no such zone or team.
+pub fn edit_text(text: &str, change: &Change) -> Result<Option<String>, ScheduleError> {
+    let (kind, table, name, field, value) = match change {
+        Change::ZoneOut { zone } => ("zone", "[[zone]]", zone, "state", "\"out\""),
+        Change::ZoneIn { zone } => ("zone", "[[zone]]", zone, "state", "\"in\""),
+        Change::RevokeKeys { team } => ("team", "[[team]]", team, "key_digests", "[]"),
+        Change::Fault { .. } => return Ok(None),
+    };
+    let wanted = format!("name = \"{name}\"");
+    let mut lines: Vec<String> = text.lines().map(str::to_owned).collect();
+    let (mut in_table, mut in_entry, mut edited) = (false, false, false);
+    for line in &mut lines {
+        if line.starts_with('[') {
+            (in_table, in_entry) = (line == table, false);
+        } else if in_table && *line == wanted {
+            in_entry = true;
+        } else if in_entry && line.split(" = ").next() == Some(field) {
+            *line = format!("{field} = {value}");
+            edited = true;
+        }
+    }
+    if !edited {
+        let name = name.clone();
+        return Err(ScheduleError::Unknown { kind, name });
+    }
+    Ok(Some(lines.join("\n") + "\n"))
+}
+
+/// Reads a schedule from a file.
+pub(crate) fn read(path: &Path) -> Result<Vec<Step>, ScheduleError> {
+    parse_schedule(&std::fs::read_to_string(path)?)
+}
+
+/// Carries out the steps at their times.
+pub(crate) async fn run(
+    steps: Vec<Step>,
+    mut text: String,
+    platform: SocketAddr,
+    targets: SocketAddr,
+    started: Instant,
+) -> Result<(), ScheduleError> {
+    let (platform_client, target_client) =
+        (PooledClient::new(platform), PooledClient::new(targets));
+    for step in steps {
+        tokio::time::sleep_until((started + Duration::from_secs_f64(step.at_s)).into()).await;
+        eprintln!(
+            "{:>6.1} s: {:?}",
+            started.elapsed().as_secs_f64(),
+            step.change
+        );
+        if let Some(edited) = edit_text(&text, &step.change)? {
+            text = edited;
+            let request = Request::put("/admin/text").body(Full::from(text.clone()));
+            send(&platform_client, platform, request).await?;
+        }
+        if let Change::Fault {
+            targets: names,
+            fault,
+        } = &step.change
+        {
+            let body = serde_json::to_string(fault)?;
+            for name in names {
+                let request =
+                    Request::post(format!("/fault/{name}")).body(Full::from(body.clone()));
+                send(&target_client, targets, request).await?;
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn send(
+    client: &PooledClient,
+    addr: SocketAddr,
+    request: http::Result<Request<Full<bytes::Bytes>>>,
+) -> Result<(), ScheduleError> {
+    let refused = |reason: String| ScheduleError::Refused {
+        addr,
+        reason: reason.into(),
+    };
+    let mut request = request.map_err(|error| refused(error.to_string()))?;
+    let host = http::HeaderValue::from_static("limpet-bench");
+    request.headers_mut().insert(http::header::HOST, host);
+    let response: Response<_> = client
+        .exchange(request)
+        .await
+        .map_err(|error| refused(error.to_string()))?;
+    if response.status().is_success() {
+        Ok(())
+    } else {
+        Err(refused(
+            String::from_utf8_lossy(response.body()).into_owned(),
+        ))
+    }
+}
--- a/crates/limpet-bench/src/load/sender.rs
+++ b/crates/limpet-bench/src/load/sender.rs
@@ -105,8 +105,7 @@
             .await
             .unwrap_or(Ending::Lost);
         // Latency counts from when the request was due, so that a slow sender hides no queueing.
-        self.tally
-            .note(shot.team, &shot.lookup.name, due.elapsed(), ending);
+        self.tally.note(shot.team, &shot.lookup.name, due, ending);
     }
 
     async fn exchange(&self, shot: &Shot) -> Ending {
