--- a/crates/limpet-bench/src/slopes/lines.rs
+++ b/crates/limpet-bench/src/slopes/lines.rs
@@ -45,8 +45,8 @@
 
 /// Fits a line for each size, class and figure.
 ///
-/// A line takes the points that are equal in every other size to the first point that has a partner, so
-/// that one cost is not taken for another.
+/// A line takes the largest set of points that are equal in every other size, so that one cost is not
+/// taken for another; of sets of one length, the one with the smaller sizes.
 pub fn lines(points: &[Point]) -> Vec<Line> {
     let mut lines = Vec::new();
     for (varied, (over, size)) in SIZES.into_iter().enumerate() {
@@ -60,6 +60,7 @@
             .map(|setting| -> Vec<&Point> {
                 points.iter().filter(|p| others(p) == *setting).collect()
             })
+            .rev()
             .max_by_key(Vec::len);
         let Some(group) = group else { continue };
         let names: BTreeSet<(Box<str>, Box<str>)> = group
@@ -89,7 +90,8 @@
 pub(crate) fn run(arguments: &FitArguments) -> Result<bool, Box<dyn std::error::Error>> {
     let mut points = Vec::with_capacity(arguments.points.len());
     for path in &arguments.points {
-        points.push(serde_json::from_slice::<Point>(&std::fs::read(path)?)?);
+        let point: Point = serde_json::from_slice(&std::fs::read(path)?)?;
+        points.push(point.with_role_means());
     }
     let document = Document {
         lines: lines(&points),
--- a/crates/limpet-bench/src/slopes/point.rs
+++ b/crates/limpet-bench/src/slopes/point.rs
@@ -65,6 +65,39 @@
         self.classes.get(class)?.get(figure).copied()
     }
 
+    /// Adds the classes `entries` and `relays` with the mean over all processes of each role.
+    ///
+    /// In a small fleet every process reads the configuration or coordinates, so the finer classes are
+    /// not there at every size.
+    pub fn with_role_means(mut self) -> Self {
+        for (role, parts) in [
+            ("entries", &["entry", "entry_reader"][..]),
+            ("relays", &["relay", "relay_reader", "coordinator"][..]),
+        ] {
+            let parts: Vec<&ClassFigures> = parts
+                .iter()
+                .filter_map(|part| self.classes.get(*part))
+                .collect();
+            let weight = |part: &ClassFigures| part.get("processes").copied().unwrap_or(0.0);
+            let processes: f64 = parts.iter().map(|part| weight(part)).sum();
+            let mut means = ClassFigures::new();
+            for name in parts.iter().flat_map(|part| part.keys()) {
+                if name.ends_with("_max") || &**name == "processes" {
+                    continue;
+                }
+                let weighted = parts
+                    .iter()
+                    .map(|part| weight(part) * part.get(name).copied().unwrap_or(0.0));
+                means.insert(name.clone(), weighted.sum::<f64>() / processes);
+            }
+            if processes > 0.0 {
+                means.insert("processes".into(), processes);
+                self.classes.insert(role.into(), means);
+            }
+        }
+        self
+    }
+
     /// Returns the classes with their figures.
     pub fn figure_names(&self) -> impl Iterator<Item = (Box<str>, Box<str>)> {
         self.classes.iter().flat_map(|(class, figures)| {
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -13,8 +13,8 @@
 
 out=${1:?the folder for the points is missing}
 sizes=${LIMPET_SLOPES_VMS:-2 4 8 16 32}
-factors=${LIMPET_SLOPES_FACTORS:-10 48}
-changes=${LIMPET_SLOPES_CHANGES:-1 2 4}
+factors=${LIMPET_SLOPES_FACTORS-10 48}
+changes=${LIMPET_SLOPES_CHANGES-1 2 4}
 time_s=${LIMPET_SLOPES_TIME_S:-8}
 zones=(zone-a zone-b zone-c zone-d)
 load_per_s=20
@@ -46,7 +46,7 @@
     local vms=$1 factor=$2 i ip common vm_list=()
     mapfile -t ports < <("$bin/limpet-bench" ports --count 8)
     "$bin/limpet-bench" example authority --text "$work/fleet.toml" --targets "$work/targets.json" \
-        --target-port "${ports[2]}" --shards-factor "$factor" --vms-max $((vms + 2)) || exit 1
+        --target-port "${ports[2]}" --shards-factor "$factor" --vms-max $((vms + vms / 4)) || exit 1
     "$bin/fake-target" --spec "$work/targets.json" --control "127.0.0.1:${ports[1]}" \
         >"$work/targets.log" 2>&1 &
     pids+=($!)
