--- /dev/null
+++ b/crates/limpet-proof/src/fleet/mod.rs
@@ -0,0 +1,1 @@
+//! Real processes.
--- /dev/null
+++ b/crates/limpet-proof/src/history/answer.rs
@@ -0,0 +1,72 @@
+//! Body of a response as a caller reads it.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Body of an answer (status 200) or of a refusal.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Answer {
+    /// Request that it belongs to.
+    pub request_id: Box<str>,
+    /// Index version of every result.
+    pub snapshot: Option<u64>,
+    /// Whether every range is covered.
+    pub complete: bool,
+    /// Key ranges.
+    pub coverage: Coverage,
+    /// Results by shard.
+    pub results: Vec<ShardResult>,
+    /// Code of a refusal.
+    pub code: Option<Box<str>>,
+    /// Whether a refusal claims that no target ran any part.
+    pub not_run: bool,
+    /// Ticket that comes with `ticket_required`.
+    pub ticket: Option<Box<str>>,
+}
+
+/// Key ranges of an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Coverage {
+    /// Covered.
+    pub answered: Vec<Range>,
+    /// Not covered.
+    pub missing: Vec<Range>,
+}
+
+/// One key range.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Range {
+    /// Shard.
+    pub shard: Box<str>,
+    /// First key.
+    pub start: u64,
+    /// First key past it.
+    pub end: u64,
+    /// Why it is missing.
+    #[serde(default)]
+    pub reason: Option<Box<str>>,
+}
+
+/// Result of one shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardResult {
+    /// Shard.
+    pub shard: Box<str>,
+    /// Body of the stand-in target: `NAME:REQUEST:LENGTH`.
+    #[serde(default)]
+    pub body: Box<str>,
+}
+
+impl ShardResult {
+    /// Returns target, request and size of the query as the stand-in target wrote them.
+    pub fn parts(&self) -> Option<(&str, &str, usize)> {
+        let mut parts = self.body.rsplitn(3, ':');
+        let size = parts.next()?.parse().ok()?;
+        let request = parts.next()?;
+        Some((parts.next()?, request, size))
+    }
+}
--- /dev/null
+++ b/crates/limpet-proof/src/history/mod.rs
@@ -0,0 +1,17 @@
+//! What a test observed from outside: one JSON object a line.
+
+mod answer;
+mod record;
+
+pub use answer::{
+    Answer,
+    Coverage,
+    Range,
+    ShardResult, //
+};
+pub use record::{
+    Change,
+    ProcessChange,
+    Record,
+    read, //
+};
