--- a/crates/limpet-proof/src/check/answers.rs
+++ b/crates/limpet-proof/src/check/answers.rs
@@ -83,9 +83,11 @@
             found.push(Violation::new(Property::OwnAnswer, reason));
             continue;
         }
-        let is_from_snapshot = index.seen.iter().any(|(name, event)| {
-            *name == target && &*event.request == id && event.snapshot == answer.snapshot
-        });
+        let seen = index.requests.get(id).map(|request| &request.seen);
+        let is_from_snapshot = seen
+            .into_iter()
+            .flatten()
+            .any(|(name, event)| *name == target && event.snapshot == answer.snapshot);
         if !is_from_snapshot {
             let reason = format!(
                 "{}: {target} was never asked for snapshot {:?}",
