--- a/crates/limpet-proof/src/fleet/mod.rs
+++ b/crates/limpet-proof/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod recorder;
 mod running;
 mod summary;
+mod waits;
 
 pub use caller::{
     Caller,
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,15 @@
 #!/usr/bin/env bash
-# Builds the workspace and runs every test.
+# Builds the workspace and runs every test except those of KNOWN-RED.txt, which it prints.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --workspace --locked
-cargo test --workspace --locked --no-fail-fast
+
+# Each entry of KNOWN-RED.txt starts with "test: NAME"; the name is compared whole.
+skip=()
+if [[ -f KNOWN-RED.txt ]]; then
+    while read -r name; do
+        echo "known red, not run: $name"
+        skip+=(--skip "$name")
+    done < <(sed -n 's/^test: //p' KNOWN-RED.txt)
+fi
+cargo test --workspace --locked --no-fail-fast -- --exact "${skip[@]}"
