Keep requests in flight while processes stop

Cause: with 1 ms at the targets a stop could find no request in flight, so a process that exits at once might have passed.

Change: targets take 20 ms in that scenario.

Conclusion: to be confirmed by a red run.

--- a/crates/limpet-proof/tests/processes.rs
+++ b/crates/limpet-proof/tests/processes.rs
@@ -331,7 +331,9 @@
 
 #[test]
 fn stopped_under_load() {
-    scenario(async |mut fleet| {
+    // Long enough that requests are in flight at every moment.
+    let adapt = |spec: TargetSpec| spec.with_service_time_us(20_000);
+    scenario_with(adapt, async |mut fleet| {
         let load = fleet.load(SEED, &EVERY);
         fleet.until_answers(100).await?;
         assert_eq!(fleet.stop(Role::Entry, 1).await?, Some(0));
