Use the read-only configuration in the later tests of the entry

Cause: the tests of drain and of forwarded orders were written while the parts of a Config could still be changed in place.

Change: they go through Config::change, like the other tests.

Ruled out: making the parts writable again, which leaves the index behind.

Conclusion: no check changed.

--- a/crates/limpetshuntd/tests/entry_drain.rs
+++ b/crates/limpetshuntd/tests/entry_drain.rs
@@ -51,12 +51,12 @@
     assert_eq!(caller.send("search", &[]).await.status, 200);
     assert_eq!(fleet.entry.remembered_targets(), 2);
     let mut config = config(2, 1);
-    config.services[0].shards[1].targets.clear();
+    config.change(|parts| parts.services[0].shards[1].targets.clear());
     fleet.board.config.store(Some(Arc::new(InForce {
         revision: 2,
         digest: [0; 32],
         text: "".into(),
-        config: config.with_index(),
+        config,
     })));
     caller.send("search", &[]).await;
     let remembered = fleet.entry.remembered_targets();
--- a/crates/limpetshuntd/tests/entry_forward.rs
+++ b/crates/limpetshuntd/tests/entry_forward.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 
 use limpet_config::{
-    Config,
+    ConfigParts,
     ZoneState, //
 };
 use limpet_decide::fair::Limits;
@@ -80,9 +80,9 @@
     });
 }
 
-fn changed(fleet: &Fleet, change: impl FnOnce(&mut Config)) {
+fn changed(fleet: &Fleet, change: impl FnOnce(&mut ConfigParts)) {
     let mut config = config(2, 1);
-    change(&mut config);
+    config.change(change);
     install(&fleet.board, config);
 }
 
