Say "not run" of a refused order only if its ticket is unused

Cause: a repeated order that was refused before its ticket was looked at (draining, rate limit, stale configuration and so on) got "not run", although the same order may have run under that ticket before. A caller that lost the first response would have placed the order anew.

Change: such a refusal keeps its code and loses "not run" unless this entry issued the ticket and knows it as unused.

Ruled out: looking up the recorded outcome on every early refusal, which would serve callers whose API key was revoked; forwarding refused requests to the issuer, which costs a hop for work that is being shed.

Before: a used ticket at a draining entry got "draining" with not_run true. After: not_run is false; an unused ticket still gets true. Both are tested.

Conclusion: "not run" now covers the order and not only this request.

--- a/crates/limpet-decide/src/ticket/table.rs
+++ b/crates/limpet-decide/src/ticket/table.rs
@@ -146,6 +146,12 @@
         Some(sequence)
     }
 
+    /// Returns whether no order has run under the ticket and none is running.
+    pub fn is_unused(&self, sequence: u64) -> bool {
+        let ticket = self.tickets.get(&sequence);
+        ticket.is_some_and(|ticket| matches!(ticket.state, State::Issued(_)))
+    }
+
     /// Returns what [`TicketTable::begin`] would, without claiming the ticket.
     pub fn peek(&mut self, sequence: u64, team: &str, order_hash: u64, now: Duration) -> Begin {
         self.expire(now);
--- a/crates/limpetshuntd/src/entry/caller.rs
+++ b/crates/limpetshuntd/src/entry/caller.rs
@@ -54,6 +54,8 @@
 pub(super) struct CallerRefusal {
     pub(super) refusal: Refusal,
     pub(super) ticket: Option<Box<str>>,
+    /// Whether the refusal takes earlier uses of the caller's ticket into account.
+    pub(super) knows_ticket: bool,
 }
 
 impl From<Refusal> for CallerRefusal {
@@ -61,6 +63,7 @@
         Self {
             refusal,
             ticket: None,
+            knows_ticket: false,
         }
     }
 }
@@ -126,13 +129,20 @@
         // Counted before the phase is read, so that a drain cannot miss it.
         let _in_flight = self.enter();
         let started = std::time::Instant::now();
+        let used_ticket = request.headers().get(respond::TICKET_HEADER).cloned();
         let (request_id, result) = match request_id(request.headers()) {
             Ok(id) => (id, self.serve_request(id, request).await),
             Err(refusal) => (rand::random(), Err(refusal.into())),
         };
         let mut response = match result {
             Ok(response) => response,
-            Err(CallerRefusal { refusal, ticket }) => {
+            Err(mut refused) => {
+                if let Some(used_ticket) = used_ticket {
+                    self.qualify_by_ticket(&mut refused, &used_ticket);
+                }
+                let CallerRefusal {
+                    refusal, ticket, ..
+                } = refused;
                 metrics::counter!("limpet_entry_refusals", "code" => refusal.code.as_str())
                     .increment(1);
                 tracing::info!(
@@ -218,7 +228,11 @@
         call.ticket = ticket.map(Into::into);
         let response = match (lookup.kind, ticket) {
             (AttemptKind::Order, Some(ticket)) => {
-                let outcome = self.order(call, lookup, ticket, place).await?;
+                let outcome = self.order(call, lookup, ticket, place).await;
+                let outcome = outcome.map_err(|refusal| CallerRefusal {
+                    knows_ticket: true,
+                    ..refusal.into()
+                })?;
                 respond::raw(request_id, &outcome)
             }
             _ => {
--- a/crates/limpetshuntd/src/entry/orders.rs
+++ b/crates/limpetshuntd/src/entry/orders.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use http::HeaderValue;
 use limpet_config::Lookup;
 use limpet_decide::ticket::{
     Begin,
@@ -75,6 +76,33 @@
                 "send the order again with this ticket",
             ),
             ticket: Some(ticket.to_string().into()),
+            knows_ticket: true,
+        }
+    }
+
+    /// Takes back "not run" from a refusal whose order may have run under the same ticket before.
+    ///
+    /// A caller that repeats an order after a lost response would otherwise take the refusal of the
+    /// repetition for proof that the order never ran, and place it anew.
+    pub(super) fn qualify_by_ticket(&self, refused: &mut CallerRefusal, ticket: &HeaderValue) {
+        if refused.knows_ticket || !refused.refusal.not_run {
+            return;
+        }
+        let Some(id) = ticket
+            .to_str()
+            .ok()
+            .and_then(|t| t.parse::<TicketId>().ok())
+        else {
+            // Not a ticket, so nothing ran under it.
+            return;
+        };
+        let is_unused = id.issuer == self.board.node && self.tickets().is_unused(id.sequence);
+        if !is_unused {
+            let message = format!(
+                "{}; an earlier use of the ticket may have run",
+                refused.refusal.message
+            );
+            refused.refusal = Refusal::maybe_run(refused.refusal.code, message);
         }
     }
 
--- a/crates/limpetshuntd/tests/entry_orders.rs
+++ b/crates/limpetshuntd/tests/entry_orders.rs
@@ -37,6 +37,29 @@
     assert_eq!(orders.runs(), 1);
 }
 
+/// Guards against "not run" for an order that ran under the same ticket before.
+async fn a_refused_repeat_is_not_called_not_run(is_used: bool) {
+    let fleet = start(Orders::open().handler()).await;
+    let mut caller = fleet.caller().await;
+    let ticket = caller.ticket().await;
+    if is_used {
+        assert_eq!(place(&mut caller, &ticket).await.status, 200);
+    }
+    fleet.board.phase.send_replace(Phase::Draining);
+    let refused = place(&mut fleet.caller().await, &ticket).await;
+    refused.assert_refused("draining", !is_used);
+}
+
+#[tokio::test]
+async fn a_refused_repeat_of_a_used_ticket_may_have_run() {
+    a_refused_repeat_is_not_called_not_run(true).await;
+}
+
+#[tokio::test]
+async fn a_refused_use_of_an_unused_ticket_did_not_run() {
+    a_refused_repeat_is_not_called_not_run(false).await;
+}
+
 #[tokio::test]
 async fn a_ticket_serves_one_order_and_one_team() {
     let orders = Orders::open();
