Let the checker decide on revoked API keys

Cause: with revocation broken, the scenario failed in its wait for the first 401 and not by the verdict of the checker.

Change: the scenario only waits past the limit.

Conclusion: a red run names the property.

--- a/crates/limpet-proof/tests/processes.rs
+++ b/crates/limpet-proof/tests/processes.rs
@@ -173,7 +173,6 @@
         let load = fleet.load(SEED, &[0, 1, 2]);
         fleet.until_answers(50).await?;
         fleet.change(Change::KeyRevoked(Layout::key("retail")));
-        fleet.until_refused("unauthorized").await?;
         fleet.until_answer_after(OVER_LIMIT).await?;
         fleet.kill(Role::Entry, 3).await?;
         fleet.kill(Role::Relay, 3).await?;
@@ -196,7 +195,6 @@
         let load = fleet.load(SEED, &EVERY);
         fleet.until_answers(100).await?;
         fleet.change(Change::KeyRevoked(Layout::key("retail")));
-        fleet.until_refused("unauthorized").await?;
         fleet.until_answer_after(OVER_LIMIT).await?;
         load.stop().await;
         Ok(fleet)
