--- a/crates/limpet-proof/src/fleet/load.rs
+++ b/crates/limpet-proof/src/fleet/load.rs
@@ -57,9 +57,7 @@
         let record = format!("A-{}", rng.random_range(0..1000));
         // Requests with one body are one request to the quarantine, and a crash would strike them all.
         let body = format!("oak {}", rng.random_range(0..1_000_000));
-        let query = Query::new(kind, team)
-            .with_record(&record)
-            .with_body(&body);
+        let query = Query::new(kind, team).with_record(&record).with_body(&body);
         let response = list[place].send(&query).await;
         let ticket = response.and_then(|response| response.answer.ticket);
         if let Some(ticket) = ticket {
