Give a target back for a balance move as soon as it is idle

Cause: a move ended an ownership by not renewing it, so the target had no owner between the end that the relay counts (3.6 s) and the end that the coordinator counts (4 s).

Change: the owner gives a target that is to move back at the first moment without attempts: it stops using it, looks again, and releases it with a request sent at once. If the second look finds an attempt, the target stays until its ownership ends. The next owner is told that the target is on its way and asks every 25 ms. The seeded driver now releases targets at any moment, from a random stream of its own so that the faults are noticed on the same seeds as before.

Ruled out: a release after cutting the attempts of the target, because a cut attempt may still run there. A release drawn from the driver's main random stream: the fault of voting without abstention was then missed.

Open: replicas of one shard may move at the same time; a draining relay still gives its targets back together; Ownership.tla has no releases.

--- a/crates/limpet-decide/src/grant/coordinator.rs
+++ b/crates/limpet-decide/src/grant/coordinator.rs
@@ -183,7 +183,11 @@
         for target in request.claimed.iter().filter(is_here) {
             let owner = self.table.claim(*target, holder, is_current_term, now);
             let target = *target;
-            reply.targets.push(OwnershipGrant { target, owner });
+            reply.targets.push(OwnershipGrant {
+                target,
+                owner,
+                is_moving: false,
+            });
         }
         if is_resigning {
             return;
@@ -192,7 +196,12 @@
             let preferred = rules.preferred.get(target).copied();
             let owner = self.table.want(*target, holder, preferred, now);
             let target = *target;
-            reply.targets.push(OwnershipGrant { target, owner });
+            let is_moving = self.table.is_moving_to(target, holder);
+            reply.targets.push(OwnershipGrant {
+                target,
+                owner,
+                is_moving,
+            });
         }
     }
 
--- a/crates/limpet-decide/src/grant/ownership_holder.rs
+++ b/crates/limpet-decide/src/grant/ownership_holder.rs
@@ -73,6 +73,22 @@
         lost
     }
 
+    /// Stops using one target and returns when its ownership ends.
+    ///
+    /// The next claims give it back; [`Self::keep`] undoes this until then.
+    pub fn release(&mut self, target: TargetAddr) -> Option<Duration> {
+        let until = self.until.remove(&target)?;
+        self.released.insert(target);
+        Some(until)
+    }
+
+    /// Goes on using a target that was released and not given back yet.
+    pub fn keep(&mut self, target: TargetAddr, until: Duration) {
+        if self.released.remove(&target) {
+            self.until.insert(target, until);
+        }
+    }
+
     /// Gives every target back; called when nothing is in flight on any of them.
     pub fn release_all(&mut self) {
         self.released
--- a/crates/limpet-decide/src/grant/ownership_table.rs
+++ b/crates/limpet-decide/src/grant/ownership_table.rs
@@ -171,6 +171,12 @@
         }
     }
 
+    /// Returns whether the owner was told to give a target up in favour of `holder`.
+    pub fn is_moving_to(&self, target: TargetAddr, holder: NodeId) -> bool {
+        let slot = self.slots.get(&target);
+        slot.is_some_and(|slot| slot.moving_to == Some(holder))
+    }
+
     /// Frees a target that its owner gave back.
     pub fn release(&mut self, target: TargetAddr, holder: NodeId) {
         if self.slots.get(&target).is_some_and(|s| s.owner == holder) {
--- a/crates/limpet-decide/tests/grant.rs
+++ b/crates/limpet-decide/tests/grant.rs
@@ -247,9 +247,11 @@
     let mut coordinator = Coordinator::new(node(9), 0, lease(100_000));
     let mut reply = coordinator.handle(&request(sequence, 0), &rules(), false, at(0));
     let (target, owner) = (target(1), Some(node(1)));
-    reply
-        .targets
-        .push(limpet_types::message::OwnershipGrant { target, owner });
+    reply.targets.push(limpet_types::message::OwnershipGrant {
+        target,
+        owner,
+        is_moving: false,
+    });
     reply
 }
 
--- /dev/null
+++ b/crates/limpet-decide/tests/moves.rs
@@ -0,0 +1,135 @@
+//! Guards against a target that stays without an owner for the rest of its former ownership when it
+//! moves for balance, and against a release that is undone by a reply.
+
+use std::time::Duration;
+
+use limpet_decide::{
+    grant::{
+        Claims,
+        Coordinator,
+        OWNERSHIP_TTL,
+        OwnershipChange,
+        OwnershipHolder,
+        Rules, //
+    },
+    lease::Lease,
+};
+use limpet_types::{
+    NodeId,
+    TargetAddr,
+    hash::{
+        LEASE_GROUPS,
+        group_of_target, //
+    },
+    message::GrantRequest, //
+};
+
+fn node(number: u8) -> NodeId {
+    NodeId::new(([10, 0, 0, number], 7101).into(), u64::from(number))
+}
+
+fn target() -> TargetAddr {
+    ([10, 1, 0, 1], 1).into()
+}
+
+/// A relay with its requests to one coordinator.
+struct Relay {
+    node: NodeId,
+    holder: OwnershipHolder,
+    sequence: u64,
+}
+
+impl Relay {
+    fn new(number: u8) -> Self {
+        let node = node(number);
+        let holder = OwnershipHolder::new(node);
+        Self {
+            node,
+            holder,
+            sequence: 0,
+        }
+    }
+
+    /// Asks for the target; returns the changes and whether the target is on its way here.
+    fn ask(
+        &mut self,
+        coordinator: &mut Coordinator,
+        rules: &Rules,
+        now: Duration,
+    ) -> (Vec<OwnershipChange>, bool) {
+        let is_preferred = rules.preferred.get(&target()) == Some(&self.node);
+        let wanted = [target()];
+        let wanted = if is_preferred { &wanted[..] } else { &[] };
+        let claims: Claims = self.holder.claims(wanted, |_| true, now);
+        self.sequence += 1;
+        let request = GrantRequest {
+            group: group_of_target(target()) % LEASE_GROUPS,
+            holder: self.node,
+            sequence: self.sequence,
+            tokens: Vec::new(),
+            term: Some(7),
+            wanted: claims.wanted.clone(),
+            claimed: claims.claimed.clone(),
+            released: claims.released.clone(),
+            directory_version: 0,
+        };
+        let reply = coordinator.handle(&request, rules, false, now);
+        let is_moving = reply.targets.iter().any(|grant| grant.is_moving);
+        (self.holder.apply(&claims, &reply, now, now), is_moving)
+    }
+}
+
+fn rules(preferred: u8) -> Rules {
+    Rules {
+        preferred: [(target(), node(preferred))].into(),
+        ..Rules::default()
+    }
+}
+
+#[test]
+fn a_target_that_is_given_back_for_a_move_is_granted_at_once() {
+    let start = Duration::from_secs(100);
+    let lease = Lease {
+        term: 7,
+        elected_at: start,
+        until: start * 2,
+    };
+    let mut coordinator = Coordinator::new(node(9), group_of_target(target()), lease);
+    let (mut former, mut next) = (Relay::new(1), Relay::new(2));
+    let now = start + OWNERSHIP_TTL;
+    let (changes, _) = former.ask(&mut coordinator, &rules(1), now);
+    assert_eq!(changes, [OwnershipChange::Gained(target())]);
+    let rules = rules(2);
+    assert_eq!(next.ask(&mut coordinator, &rules, now), (Vec::new(), true));
+    let (changes, _) = former.ask(&mut coordinator, &rules, now);
+    assert_eq!(changes, [OwnershipChange::Ending(target(), Some(node(2)))]);
+    // Not granted while the former owner may still use it.
+    assert_eq!(next.ask(&mut coordinator, &rules, now), (Vec::new(), true));
+    assert!(former.holder.release(target()).is_some());
+    assert_eq!(former.holder.owned().count(), 0);
+    assert_eq!(former.ask(&mut coordinator, &rules, now).0, []);
+    let (changes, _) = next.ask(&mut coordinator, &rules, now);
+    assert_eq!(changes, [OwnershipChange::Gained(target())]);
+}
+
+#[test]
+fn a_release_that_is_undone_before_it_is_sent_keeps_the_former_end() {
+    let until = Duration::from_secs(103);
+    let mut relay = Relay::new(1);
+    let lease = Lease {
+        term: 7,
+        elected_at: Duration::from_secs(90),
+        until: Duration::from_secs(200),
+    };
+    let mut coordinator = Coordinator::new(node(9), group_of_target(target()), lease);
+    relay.ask(
+        &mut coordinator,
+        &rules(1),
+        until - Duration::from_millis(3600),
+    );
+    assert_eq!(relay.holder.release(target()), Some(until));
+    relay.holder.keep(target(), until);
+    assert_eq!(relay.holder.owned().next(), Some((target(), until)));
+    let claims = relay.holder.claims(&[], |_| true, Duration::from_secs(101));
+    assert!(claims.released.is_empty());
+}
--- a/crates/limpet-decide/tests/rights.rs
+++ b/crates/limpet-decide/tests/rights.rs
@@ -25,16 +25,19 @@
 /// Guards against a driver in which nothing happens, which would prove nothing.
 #[test]
 fn the_driver_reaches_elections_tokens_and_owners() {
-    let (mut elections, mut spent, mut gains) = (0, 0, 0);
+    let (mut elections, mut spent, mut gains, mut releases) = (0, 0, 0, 0);
     for seed in 0..12 {
         let mut driver = Driver::new(seed, Fault::None);
         assert_eq!(driver.run(40_000), Ok(()));
         elections += driver.elections;
         spent += driver.spent;
         gains += driver.gains;
+        releases += driver.releases;
     }
-    println!("{elections} elections, {spent} tokens, {gains} changes of ownership");
-    assert!(elections >= 24 && spent > 12 * 100 && gains >= 12 * 4);
+    println!(
+        "{elections} elections, {spent} tokens, {gains} changes of ownership, {releases} releases"
+    );
+    assert!(elections >= 24 && spent > 12 * 100 && gains >= 12 * 4 && releases > 12);
 }
 
 limpet_testkit::cases! {
--- a/crates/limpet-decide/tests/rights/driver.rs
+++ b/crates/limpet-decide/tests/rights/driver.rs
@@ -50,6 +50,8 @@
 
 pub(crate) struct Driver {
     rng: ChaCha8Rng,
+    // Of its own, so that releases leave the seeds on which the faults are noticed as they are.
+    release_rng: ChaCha8Rng,
     fault: Fault,
     now_ms: u64,
     order: u64,
@@ -63,12 +65,14 @@
     pub(crate) spent: u64,
     pub(crate) elections: u64,
     pub(crate) gains: u64,
+    pub(crate) releases: u64,
 }
 
 impl Driver {
     pub(crate) fn new(seed: u64, fault: Fault) -> Self {
         let mut driver = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            release_rng: ChaCha8Rng::seed_from_u64(!seed),
             fault,
             now_ms: START_MS,
             order: 0,
@@ -86,6 +90,7 @@
             spent: 0,
             elections: 0,
             gains: 0,
+            releases: 0,
         };
         for index in 0..RELAYS + ENTRIES {
             let node = Node::new(&mut driver.rng, fault, driver.now_ms, index);
@@ -291,7 +296,14 @@
             lease.is_some()
         });
         let random_peer = self.rng.random_range(0..RELAYS);
+        let gives_back = self.release_rng.random_bool(0.1);
         let node = &mut self.nodes[index];
+        let given_back = node.holder.owned().next().filter(|_| gives_back);
+        if let Some((target, _)) = given_back {
+            // As for a move: at any moment, also while a reply that renews the target is on its way.
+            node.holder.release(target);
+            self.releases += 1;
+        }
         node.peer = match has_coordinator {
             Some(_) if random_peer % 2 == 0 => random_peer,
             Some(peer) => peer,
@@ -324,7 +336,7 @@
             term: node.term,
             wanted: claims.wanted.clone(),
             claimed: claims.claimed.clone(),
-            released: Vec::new(),
+            released: claims.released.clone(),
             directory_version: 0,
         };
         node.pending = Some(Pending {
--- a/crates/limpet-types/src/message/grant.rs
+++ b/crates/limpet-types/src/message/grant.rs
@@ -83,6 +83,8 @@
     pub target: TargetAddr,
     /// Owner now; the holder itself if granted, `None` if nobody may own it yet.
     pub owner: Option<NodeId>,
+    /// Whether the owner was told to give the target up in favour of the asker.
+    pub is_moving: bool,
 }
 
 /// One line of the directory.
--- a/crates/limpetshuntd/src/lease/grant_client.rs
+++ b/crates/limpetshuntd/src/lease/grant_client.rs
@@ -36,9 +36,11 @@
     daemon::Context,
     lease::{
         candidate_actor::other_relays,
+        moves_away::MovesAway,
         service,
         state::LeaseState, //
     },
+    relay,
 };
 
 /// Time between two looks for requests that found no token; a request waits at most 50 ms.
@@ -50,6 +52,8 @@
 const TOKEN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two requests that renew ownership or look for a new directory.
 const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two requests while a target is on its way to this relay.
+const MOVE_INTERVAL: Duration = Duration::from_millis(25);
 /// Time before another relay is asked who coordinates.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for one reply; a repeat under the same number follows.
@@ -70,6 +74,8 @@
     searched: usize,
     asked_at: Duration,
     is_released: bool,
+    is_awaiting_move: bool,
+    moves: MovesAway,
     ownership: OwnershipHolder,
 }
 
@@ -86,6 +92,8 @@
             searched: 0,
             asked_at: Duration::ZERO,
             is_released: false,
+            is_awaiting_move: false,
+            moves: MovesAway::default(),
             ownership: OwnershipHolder::new(node),
         }
     }
@@ -94,7 +102,9 @@
     pub(super) async fn step(&mut self, context: &Context, lease: &LeaseState) -> Duration {
         let board = &context.board;
         let lost = self.ownership.expire(board.now());
+        self.moves.note(&lost);
         self.note_changes(board, &lost);
+        self.release_idle(context);
         let Some(in_force) = board.in_force().filter(|_| !self.is_released) else {
             return RENEW_INTERVAL / 10;
         };
@@ -120,6 +130,32 @@
         }
     }
 
+    /// Gives back the targets that are to move and have no attempt left.
+    fn release_idle(&mut self, context: &Context) {
+        let board = &context.board;
+        for target in self.moves.pending() {
+            if !relay::is_idle(context, target) {
+                continue;
+            }
+            let Some(until) = self.ownership.release(target) else {
+                self.moves.forget(target);
+                continue;
+            };
+            // An attempt counts as in flight before it checks the ownership: either it is seen by the
+            // second look, or it finds the target no longer owned and is not sent.
+            self.write_owned(board);
+            if relay::is_idle(context, target) {
+                self.moves.forget(target);
+                self.asked_at = Duration::ZERO;
+                tracing::info!(group = self.group, %target, reason = "moved for balance", "released ownership");
+            } else {
+                self.ownership.keep(target, until);
+                self.moves.keep_to_its_end(target);
+                self.write_owned(board);
+            }
+        }
+    }
+
     /// Gives back every target; called when nothing is in flight on any of them.
     pub(super) async fn release(&mut self, context: &Context) {
         self.is_released = true;
@@ -152,6 +188,7 @@
         let now = board.now();
         let since = now.saturating_sub(self.asked_at);
         match board.role {
+            Role::Relay if self.is_awaiting_move => since >= MOVE_INTERVAL,
             Role::Relay => since >= RENEW_INTERVAL,
             Role::Entry => {
                 let is_short = since >= SHORT_INTERVAL && board.shares().is_short(self.group, now);
@@ -286,6 +323,8 @@
             board.shares_refilled.notify_waiters();
         }
         let changes = self.ownership.apply(claims, reply, sent_at, now);
+        self.moves.note(&changes);
+        self.is_awaiting_move = reply.targets.iter().any(|grant| grant.is_moving);
         self.note_changes(board, &changes);
         if !claims.claimed.is_empty() {
             self.write_owned(board);
--- a/crates/limpetshuntd/src/lease/mod.rs
+++ b/crates/limpetshuntd/src/lease/mod.rs
@@ -4,6 +4,7 @@
 mod grant_actor;
 mod grant_client;
 mod group_state;
+mod moves_away;
 mod resign;
 mod rules_cache;
 mod service;
--- a/crates/limpetshuntd/tests/lease.rs
+++ b/crates/limpetshuntd/tests/lease.rs
@@ -2,11 +2,15 @@
 //! survive a drain, with the modules of real processes over loopback.
 
 use std::{
+    cell::RefCell,
     sync::{
         Arc,
         atomic::Ordering, //
     },
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use clap::Parser;
@@ -20,6 +24,10 @@
     TargetState,
     Team, //
 };
+use limpet_decide::{
+    grant::OWNERSHIP_TTL,
+    lease::usable, //
+};
 use limpet_peer::{
     PeerClient,
     PeerServer,
@@ -271,3 +279,41 @@
         process.stop().await;
     }
 }
+
+/// Guards against a target that has no owner from the end of a former ownership at its holder to its
+/// end at the coordinator, when a relay that joins takes its part of the targets.
+#[tokio::test]
+async fn targets_that_move_to_a_new_relay_do_not_wait_for_the_end_of_their_ownership() {
+    let mut fleet = vec![Process::start(Role::Entry).await];
+    for _ in 0..2 {
+        fleet.push(Process::start(Role::Relay).await);
+    }
+    gossip_until(&fleet, "owners", || all_owned(&fleet)).await;
+    let newcomer = Process::start(Role::Relay).await;
+    let node = newcomer.board().node;
+    fleet.push(newcomer);
+    let lost_at = RefCell::new([None; TARGETS as usize]);
+    let gaps = RefCell::new(Vec::new());
+    gossip_until(&fleet, "targets of the new relay", || {
+        for number in 0..TARGETS {
+            let lost_at = &mut lost_at.borrow_mut()[usize::from(number)];
+            match owners(&fleet, target_addr(number)) {
+                0 => *lost_at = lost_at.or(Some(Instant::now())),
+                _ => gaps
+                    .borrow_mut()
+                    .extend(lost_at.take().map(|at| at.elapsed())),
+            }
+        }
+        let is_moved = (0..TARGETS).any(|number| fleet[3].owns(target_addr(number)));
+        is_moved && all_owned(&fleet)
+    })
+    .await;
+    let gaps = gaps.into_inner();
+    println!("{node}: without an owner for {gaps:?}");
+    // By expiry each gap is at least what the holder does not use of its right.
+    let by_expiry = OWNERSHIP_TTL - usable(OWNERSHIP_TTL);
+    assert!(gaps.iter().all(|gap| *gap < by_expiry), "{gaps:?}");
+    for process in fleet {
+        process.stop().await;
+    }
+}
