Count each crash of a target that restarts before it answers

Cause: a crash was named by the target's address and the incarnation that answered last. A target that crashed again before its first response gave the same name, so the second strike was dropped as a repetition.

Change: the name also holds the time at which the owner saw the crash.

Ruled out: gossip as the only cause. Strikes spread since they are exported, and the test still needed this change on one relay.

Before: process test poison_resent_through_every_entry: 64 crashes after 32 sends, never quarantined. After: it passes.

Conclusion: a crash seen by a former and a new owner may count twice, which quarantines a poison request earlier and an innocent one never, since that takes two strikes from different crashes without a success in between.

--- a/crates/limpet-decide/src/quarantine/strike_table.rs
+++ b/crates/limpet-decide/src/quarantine/strike_table.rs
@@ -37,11 +37,15 @@
     Quarantined,
 }
 
-/// Identifies the end of one run of a target, equally on every relay.
-pub fn crash_id(target: TargetAddr, incarnation: Option<Incarnation>) -> u64 {
+/// Identifies one crash of a target that its owner saw at `at`.
+///
+/// The time counts because a target may crash again before it tells the incarnation of its new run;
+/// without it the second crash would be taken for the first.
+pub fn crash_id(target: TargetAddr, incarnation: Option<Incarnation>, at: Duration) -> u64 {
     let target = target.to_string();
     let incarnation = incarnation.unwrap_or_default().to_le_bytes();
-    stable_hash_parts(&[target.as_bytes(), &incarnation])
+    let at_ns = at.as_nanos().to_le_bytes();
+    stable_hash_parts(&[target.as_bytes(), &incarnation, &at_ns])
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/limpet-decide/tests/quarantine.rs
+++ b/crates/limpet-decide/tests/quarantine.rs
@@ -77,8 +77,8 @@
     let mut here = StrikeTable::new();
     let mut there = StrikeTable::new();
     let target = "127.0.0.1:1".parse().unwrap();
-    here.record_crash(crash_id(target, Some(1)), &[10, 11], START);
-    there.record_crash(crash_id(target, Some(2)), &[10, 12], START);
+    here.record_crash(crash_id(target, Some(1), START), &[10, 11], START);
+    there.record_crash(crash_id(target, Some(2), START), &[10, 12], START);
     here.merge(&there.export(10, START), START);
     assert_eq!(here.verdict(10, START), Verdict::Quarantined);
 }
--- a/crates/limpetshuntd/src/relay/crash.rs
+++ b/crates/limpetshuntd/src/relay/crash.rs
@@ -83,7 +83,7 @@
 
     fn confirm(&self, pending: Pending) -> Crash {
         Crash {
-            id: crash_id(self.target, pending.incarnation),
+            id: crash_id(self.target, pending.incarnation, pending.at),
             fingerprints: pending.fingerprints,
         }
     }
