--- a/crates/limpet-proof/src/check/index.rs
+++ b/crates/limpet-proof/src/check/index.rs
@@ -18,6 +18,7 @@
     pub(super) entry: &'a str,
     pub(super) kind: &'a str,
     pub(super) key: Option<&'a str>,
+    pub(super) record: Option<&'a str>,
     pub(super) ticket: Option<&'a str>,
     pub(super) size_bytes: usize,
     pub(super) answer: Option<(u64, u16, &'a Answer)>,
@@ -105,6 +106,7 @@
                 entry,
                 kind,
                 key,
+                record,
                 ticket,
                 size_bytes,
             } => {
@@ -113,6 +115,7 @@
                 request.entry = entry;
                 request.kind = kind;
                 request.key = key.as_deref();
+                request.record = record.as_deref();
                 request.ticket = ticket.as_deref();
                 request.size_bytes = *size_bytes;
             }
--- a/crates/limpet-proof/src/fleet/caller.rs
+++ b/crates/limpet-proof/src/fleet/caller.rs
@@ -123,6 +123,7 @@
             entry: self.entry.clone(),
             kind: query.kind.into(),
             key: Some(Layout::key(query.team)),
+            record: matches!(query.kind, "record" | "order").then(|| query.record.into()),
             ticket: query.ticket.map(Into::into),
             size_bytes: query.body.len(),
         });
--- a/crates/limpet-proof/src/history/mod.rs
+++ b/crates/limpet-proof/src/history/mod.rs
@@ -5,6 +5,7 @@
 
 pub use answer::{
     Answer,
+    BodyParts,
     Coverage,
     Range,
     ShardResult, //
--- a/crates/limpet-proof/src/history/record.rs
+++ b/crates/limpet-proof/src/history/record.rs
@@ -50,6 +50,9 @@
         kind: Box<str>,
         /// API key; none on an open route.
         key: Option<Box<str>>,
+        /// Record key of a record or an order.
+        #[serde(default)]
+        record: Option<Box<str>>,
         /// Ticket of an order.
         ticket: Option<Box<str>>,
         /// Size of the query.
