Wake the grant clients when a request finds no rate token

An entry with little demand holds no tokens, and its grant clients looked for waiting requests only every 5 ms.

Ruled out: holding a token of each team in advance, which spreads small bursts over idle entries and refused more requests within the rate.

--- a/crates/limpetshuntd/src/blackboard/board.rs
+++ b/crates/limpetshuntd/src/blackboard/board.rs
@@ -72,6 +72,8 @@
     pub(crate) knows_owners: OnceLock<()>,
     /// Written by the grant controller; entries spend from it.
     pub(crate) shares: Mutex<Shares>,
+    /// Signalled by the entry when a request finds no token.
+    pub shares_missed: Notify,
     /// Signalled by the grant controller when tokens arrive.
     pub shares_refilled: Notify,
     /// Written by the grant controller.
@@ -97,6 +99,7 @@
             directory: ArcSwap::default(),
             knows_owners: OnceLock::new(),
             shares: Mutex::new(Shares::new()),
+            shares_missed: Notify::new(),
             shares_refilled: Notify::new(),
             owned: ArcSwap::default(),
             strikes: Mutex::new(StrikeTable::new()),
--- a/crates/limpetshuntd/src/entry/admission.rs
+++ b/crates/limpetshuntd/src/entry/admission.rs
@@ -133,6 +133,7 @@
             if self.board.shares().take(team, now) {
                 return Ok(());
             }
+            self.board.shares_missed.notify_waiters();
             let time_left = until.saturating_sub(now);
             if time_left.is_zero() || tokio::time::timeout(time_left, refilled).await.is_err() {
                 return Err(Refusal::not_run(
--- a/crates/limpetshuntd/src/lease/grant_actor.rs
+++ b/crates/limpetshuntd/src/lease/grant_actor.rs
@@ -45,13 +45,19 @@
         _message: Tick,
         (context, lease): &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
+        let missed = context.board.shares_missed.notified();
+        tokio::pin!(missed);
+        // Registered before the step, so that a miss in between is not overlooked.
+        missed.as_mut().enable();
         let wait = lease
             .client(self.group)
             .lock()
             .await
             .step(context, lease)
             .await;
-        myself.send_after(wait, || Tick);
+        // A request that found no token waits for the next step, so it does not wait for the clock.
+        let _ = tokio::time::timeout(wait, missed).await;
+        myself.cast(Tick)?;
         Ok(())
     }
 }
