Draw the arrivals of both rate simulations in one place

Cause: the moved tokens and the baseline each had a copy of the code that draws the requests, although the comparison needs them to be alike.

Change: both call arrivals().

Ruled out: one loop for both simulations; their state has nothing in common.

Conclusion: the comparison cannot drift apart by an edit of one copy.

--- a/crates/limpet-decide/examples/rate.rs
+++ b/crates/limpet-decide/examples/rate.rs
@@ -177,22 +177,8 @@
             let back = now_ms + GAP_MS;
             coordinators[group] = (back, coordinator(group as GroupId, back, turn * 1000));
         }
-        let favourite = (now_ms / 2_000) as usize % ENTRIES;
         for (team, (_, rate, burst)) in TEAMS.iter().enumerate() {
-            let factor = if scenario == Scenario::FiveTimes && team == 1 {
-                5.0
-            } else {
-                LOAD
-            };
-            let mut expected = rate * factor / 1000.0;
-            while expected > 0.0 && rng.random_bool(expected.min(1.0)) {
-                expected -= 1.0;
-                let is_moved = scenario == Scenario::Moving && rng.random_bool(0.9);
-                let mut place = if is_moved {
-                    favourite
-                } else {
-                    rng.random_range(0..ENTRIES)
-                };
+            for mut place in arrivals(scenario, team, *rate, now_ms, &mut rng) {
                 while entries[place].back_ms > now_ms {
                     place = (place + 1) % ENTRIES;
                 }
@@ -283,24 +269,10 @@
         .collect();
     let mut offered_max = 0.0f64;
     for now_ms in START_MS..START_MS + LENGTH_MS {
-        let favourite = (now_ms / 2_000) as usize % ENTRIES;
         let down = (now_ms / 10_000) as usize % ENTRIES;
         let is_down = scenario == Scenario::Kills && now_ms % 10_000 < 3_000;
         for (team, (_, rate, burst)) in TEAMS.iter().enumerate() {
-            let factor = if scenario == Scenario::FiveTimes && team == 1 {
-                5.0
-            } else {
-                LOAD
-            };
-            let mut expected = rate * factor / 1000.0;
-            while expected > 0.0 && rng.random_bool(expected.min(1.0)) {
-                expected -= 1.0;
-                let is_moved = scenario == Scenario::Moving && rng.random_bool(0.9);
-                let mut place = if is_moved {
-                    favourite
-                } else {
-                    rng.random_range(0..ENTRIES)
-                };
+            for mut place in arrivals(scenario, team, *rate, now_ms, &mut rng) {
                 if is_down && place == down {
                     place = (place + 1) % ENTRIES;
                 }
@@ -322,6 +294,34 @@
     (tallies, offered_max)
 }
 
+/// Draws the requests of a team in one millisecond; each is the entry that the load balancer chose.
+fn arrivals(
+    scenario: Scenario,
+    team: usize,
+    rate_per_s: f64,
+    now_ms: u64,
+    rng: &mut ChaCha8Rng,
+) -> Vec<usize> {
+    let favourite = (now_ms / 2_000) as usize % ENTRIES;
+    let factor = if scenario == Scenario::FiveTimes && team == 1 {
+        5.0
+    } else {
+        LOAD
+    };
+    let mut expected = rate_per_s * factor / 1000.0;
+    let mut places = Vec::new();
+    while expected > 0.0 && rng.random_bool(expected.min(1.0)) {
+        expected -= 1.0;
+        let is_moved = scenario == Scenario::Moving && rng.random_bool(0.9);
+        places.push(if is_moved {
+            favourite
+        } else {
+            rng.random_range(0..ENTRIES)
+        });
+    }
+    places
+}
+
 /// Returns the requests within the rate that were not served, of all teams and of the worst one.
 fn shortfall(tallies: &[Tally; 8], but: Option<usize>) -> (f64, f64) {
     let kept = tallies
