Share the change of the configuration between the tests of the entry

Cause: two test files had the same function that puts a changed configuration in force.

Change: it stands once in the support module of these tests.

Ruled out: a builder of test configurations; both uses are one closure.

Conclusion: no behaviour changed.

--- a/crates/limpetshuntd/tests/entry_access.rs
+++ b/crates/limpetshuntd/tests/entry_access.rs
@@ -15,7 +15,6 @@
 use bytes::Bytes;
 use limpet_config::{
     Config,
-    ConfigParts,
     Lookup,
     ZoneState, //
 };
@@ -33,6 +32,7 @@
     LONG,
     OTHER_KEY,
     answer,
+    changed,
     config,
     grant,
     handler,
@@ -145,12 +145,6 @@
     });
 }
 
-fn changed(fleet: &Fleet, change: impl FnOnce(&mut ConfigParts)) {
-    let mut config = config(2, 1);
-    config.change(change);
-    install(&fleet.board, config);
-}
-
 limpet_testkit::cases! {
     refuses:
     an_unknown_key => (|_| {}, &[("authorization", "Bearer nobody")], "unauthorized"),
--- a/crates/limpetshuntd/tests/entry_forward.rs
+++ b/crates/limpetshuntd/tests/entry_forward.rs
@@ -5,15 +5,12 @@
 
 use std::sync::atomic::Ordering;
 
-use limpet_config::{
-    ConfigParts,
-    ZoneState, //
-};
+use limpet_config::ZoneState;
 use limpet_decide::fair::Limits;
 use limpet_types::Phase;
 use limpetshuntd::entry::EntryLimits;
 use support::{
-    Fleet, config, install,
+    Fleet, changed, config,
     orders::{
         Orders,
         connect,
@@ -80,12 +77,6 @@
     });
 }
 
-fn changed(fleet: &Fleet, change: impl FnOnce(&mut ConfigParts)) {
-    let mut config = config(2, 1);
-    config.change(change);
-    install(&fleet.board, config);
-}
-
 limpet_testkit::cases! {
     refuses_forwarded:
     a_starting_issuer => (|f| { f.board.phase.send_replace(Phase::Starting); }, "starting"),
--- a/crates/limpetshuntd/tests/support/mod.rs
+++ b/crates/limpetshuntd/tests/support/mod.rs
@@ -35,6 +35,7 @@
 use hyper_util::rt::TokioIo;
 use limpet_config::{
     Config,
+    ConfigParts,
     Fleet as FleetNumbers,
     Lookup,
     Service,
@@ -284,6 +285,13 @@
     })));
 }
 
+/// Puts a changed form of the usual configuration in force.
+pub fn changed(fleet: &Fleet, change: impl FnOnce(&mut ConfigParts)) {
+    let mut config = config(2, 1);
+    config.change(change);
+    install(&fleet.board, config);
+}
+
 /// Gives tokens to a team.
 pub fn grant(board: &Blackboard, team: &str, count: u32) {
     let now = board.now();
