--- /dev/null
+++ b/crates/limpet-gateway/src/admin.rs
@@ -0,0 +1,130 @@
+//! HTTP for operators and the platform: readiness, metrics and status.
+
+use std::{
+    convert::Infallible,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use metrics_exporter_prometheus::{
+    PrometheusBuilder,
+    PrometheusHandle, //
+};
+use tokio::{
+    net::TcpListener,
+    task::JoinSet,
+    time::sleep, //
+};
+
+use crate::board::Board;
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest idle time of a connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What a listener serves.
+#[derive(Clone, Debug)]
+pub enum Page {
+    /// Readiness, whatever the path is: the platform's name of the check is not ours.
+    Ready,
+    /// `/metrics` and `/status`.
+    Operators(Option<PrometheusHandle>),
+}
+
+/// Installs the recorder of the process's metrics.
+pub fn install_recorder() -> Option<PrometheusHandle> {
+    match PrometheusBuilder::new().install_recorder() {
+        Ok(handle) => Some(handle),
+        Err(error) => {
+            tracing::warn!(%error, "metrics are not recorded");
+            None
+        }
+    }
+}
+
+/// Serves a page until the future is dropped.
+pub async fn serve(listener: TcpListener, board: Arc<Board>, page: Page) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let (board, page) = (Arc::clone(&board), page.clone());
+                    connections.spawn(async move {
+                        let service = service_fn(move |request| {
+                            let response = respond(&board, &page, &request);
+                            async move { Ok::<_, Infallible>(response) }
+                        });
+                        let connection = http1::Builder::new()
+                            .timer(TokioTimer::new())
+                            .header_read_timeout(IDLE_TIMEOUT)
+                            .serve_connection(TokioIo::new(stream), service);
+                        if let Err(error) = connection.await {
+                            tracing::debug!(%error, "admin connection ended");
+                        }
+                    });
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "admin connection not accepted");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next(), if !connections.is_empty() => {}
+        }
+    }
+}
+
+fn respond(board: &Board, page: &Page, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, body) = match (page, request.uri().path()) {
+        (Page::Ready, _) if board.is_ready() => (StatusCode::OK, String::new()),
+        (Page::Ready, _) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        (Page::Operators(Some(recorder)), "/metrics") => (StatusCode::OK, recorder.render()),
+        (Page::Operators(_), "/status") => (StatusCode::OK, status(board)),
+        (Page::Operators(_), _) => (StatusCode::NOT_FOUND, String::new()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
+
+fn status(board: &Board) -> String {
+    let now = board.now();
+    let version = board
+        .table
+        .load()
+        .as_ref()
+        .map(|table| table.text().version);
+    let (targets, connections) = board.fleet().totals();
+    let presence = board.ledger().presence();
+    let state = board.state();
+    format!(
+        "name {}\nzone {}\nready {}\ndraining {}\ntext version {version:?}\nrevision {}\n\
+         state age {:?}\ntargets {targets}\ntarget connections {connections}\nprocesses {}\n\
+         silent processes {}\n",
+        board.settings.name,
+        board.settings.zone,
+        !board.is_draining() && version.is_some() && state.has_targets(),
+        board.is_draining(),
+        state.revision(),
+        state.age(now),
+        presence.processes,
+        presence.silent,
+    )
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/board.rs
@@ -0,0 +1,198 @@
+//! Blackboard of the process: controllers write the fields that they own, others read.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwapOption;
+use limpet_decide::quarantine::StrikeTable;
+use tokio::sync::watch;
+
+use crate::{
+    budget::RepeatBudget,
+    clock::Clock,
+    dialect::Dialect,
+    latency::RouteLatency,
+    members::Roster,
+    rate::Ledger,
+    settings::Settings,
+    state::DeploymentState,
+    table::RouteTable,
+    target::Fleet, //
+};
+
+/// Everything that the parts of a process share.
+#[derive(Debug)]
+pub struct Board {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Header names of the deployment.
+    pub dialect: Dialect,
+    /// Time since the start.
+    pub clock: Clock,
+    /// Routes, keys and teams in force; `None` before the first text.
+    pub table: ArcSwapOption<RouteTable>,
+    is_draining: AtomicBool,
+    revision: watch::Sender<u64>,
+    state: Mutex<DeploymentState>,
+    fleet: Mutex<Fleet>,
+    ledger: Mutex<Ledger>,
+    roster: Mutex<Roster>,
+    strikes: Mutex<StrikeTable>,
+    budgets: Mutex<HashMap<Box<str>, RepeatBudget>>,
+    latencies: Mutex<HashMap<Box<str>, RouteLatency>>,
+}
+
+/// Locks a field. A panic of another task leaves plain data behind, which stays usable.
+fn lock<T>(field: &Mutex<T>) -> MutexGuard<'_, T> {
+    field.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Board {
+    /// Creates the blackboard of a process that knows nothing yet.
+    pub fn new(settings: Settings, dialect: Dialect) -> Self {
+        let roster = Roster::new(settings.roster, settings.peer_addr, &settings.seeds);
+        let is_first_start = settings.is_first_start;
+        let state = DeploymentState::new(settings.lapse_grace);
+        Self {
+            settings,
+            dialect,
+            clock: Clock::new(),
+            table: ArcSwapOption::empty(),
+            is_draining: AtomicBool::new(false),
+            revision: watch::Sender::new(0),
+            state: Mutex::new(state),
+            fleet: Mutex::new(Fleet::new()),
+            ledger: Mutex::new(Ledger::new(is_first_start)),
+            roster: Mutex::new(roster),
+            strikes: Mutex::new(StrikeTable::new()),
+            budgets: Mutex::new(HashMap::new()),
+            latencies: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Returns the time since the start of the process.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Locks the state of the deployment.
+    pub fn state(&self) -> MutexGuard<'_, DeploymentState> {
+        lock(&self.state)
+    }
+
+    /// Locks the targets.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    /// Locks the accounts of the teams.
+    pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        lock(&self.ledger)
+    }
+
+    /// Locks the list of processes.
+    pub fn roster(&self) -> MutexGuard<'_, Roster> {
+        lock(&self.roster)
+    }
+
+    /// Locks the requests suspected of crashing targets.
+    pub fn strikes(&self) -> MutexGuard<'_, StrikeTable> {
+        lock(&self.strikes)
+    }
+
+    /// Notes a request for a service in its budget.
+    pub fn note_first(&self, service: &str) {
+        let now = self.now();
+        let mut budgets = lock(&self.budgets);
+        if let Some(budget) = budgets.get_mut(service) {
+            budget.note_first(now);
+            return;
+        }
+        let mut budget = RepeatBudget::new(self.settings.repeats);
+        budget.note_first(now);
+        budgets.insert(service.into(), budget);
+    }
+
+    /// Spends one repeat from the budget of a service.
+    pub fn try_repeat(&self, service: &str) -> bool {
+        let now = self.now();
+        let processes = self.ledger().presence().processes;
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.try_repeat(processes, now))
+    }
+
+    /// Reads or writes the latencies of a route.
+    pub fn with_latency<T>(&self, route: &str, apply: impl FnOnce(&mut RouteLatency) -> T) -> T {
+        let mut latencies = lock(&self.latencies);
+        if let Some(latency) = latencies.get_mut(route) {
+            return apply(latency);
+        }
+        apply(latencies.entry(route.into()).or_default())
+    }
+
+    /// Puts the newest text in force.
+    pub fn install_text(&self) {
+        let text = self.state().text().cloned();
+        let Some(text) = text else {
+            return;
+        };
+        let table = Arc::new(RouteTable::new(text));
+        self.ledger().set_teams(table.teams(), self.now());
+        self.trim(&table);
+        self.table.store(Some(table));
+    }
+
+    /// Takes over the targets of the newest state.
+    pub fn sync_fleet(&self) {
+        let now = self.now();
+        let state = self.state();
+        self.fleet().sync(&state, now);
+    }
+
+    /// Wakes followers after a change of the state.
+    pub fn note_revision(&self) {
+        let revision = self.state().revision();
+        self.revision.send_if_modified(|known| {
+            let is_new = *known != revision;
+            *known = revision;
+            is_new
+        });
+    }
+
+    /// Returns the revision of the state as it changes.
+    pub fn revisions(&self) -> watch::Receiver<u64> {
+        self.revision.subscribe()
+    }
+
+    /// Forgets routes and services that are no longer in force.
+    fn trim(&self, table: &RouteTable) {
+        let is_route = |name: &str| table.text().routes.iter().any(|r| &*r.name == name);
+        lock(&self.latencies).retain(|name, _| is_route(name));
+        lock(&self.budgets).retain(|name, _| table.service(name).is_some());
+    }
+
+    /// Returns whether the process stops.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    /// Begins the stop of the process.
+    pub fn start_drain(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the process can serve.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.table.load().is_some() && self.state().has_targets()
+    }
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/clock.rs
@@ -0,0 +1,31 @@
+//! Time since the start of the process.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Steady clock of the process; it stands still while the process is suspended.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock {
+    /// Creates a clock that starts now.
+    pub fn new() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/follow.rs
@@ -0,0 +1,234 @@
+//! Keeps the state of the deployment current: one process reads the source, the others follow it.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use limpet_peer::PeerClient;
+use limpet_types::{
+    deployment::Update,
+    message::{
+        FollowRequest,
+        PeerReply,
+        PeerRequest, //
+    },
+};
+use rand::Rng;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+
+use crate::{
+    board::Board,
+    source::{
+        Source,
+        SourceErrorKind, //
+    },
+};
+
+/// Longest time for which the source holds back a watch without changes.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// Longest time for which a process holds back a follower without changes.
+const FOLLOW_WAIT: Duration = Duration::from_millis(800);
+/// Added to a wait before the other side counts as silent.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Age beyond which a process no longer counts as a reader: a watch that returned in time has at
+/// most the wait and its reply time.
+const READER_AGE_MAX: Duration = Duration::from_millis(1600);
+/// Pause after changes, in which further ones gather for one call.
+const BATCH_PAUSE: Duration = Duration::from_millis(120);
+/// Pause after a failed read, with the same again at random.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Where the last update came from, for the log lines of lost and regained dependencies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Link {
+    Unknown,
+    Up,
+    Down,
+}
+
+/// The controller that keeps the state current.
+#[derive(Debug)]
+pub struct Follower {
+    board: Arc<Board>,
+    source: Source,
+    peers: PeerClient,
+    source_link: Link,
+    /// Whether the history after the revision is gone, so that the whole state must be read.
+    needs_read: bool,
+}
+
+impl Follower {
+    /// Creates the controller.
+    pub fn new(board: Arc<Board>, source: Source) -> Self {
+        Self {
+            board,
+            source,
+            peers: PeerClient::new(),
+            source_link: Link::Unknown,
+            needs_read: false,
+        }
+    }
+
+    /// Runs until it is dropped.
+    pub async fn run(mut self) {
+        loop {
+            let reader = self.reader();
+            let is_followed = match reader {
+                Some(reader) => self.follow(reader, FOLLOW_WAIT).await,
+                None => false,
+            };
+            if is_followed || self.read_source().await {
+                continue;
+            }
+            // The source does not answer this process; another one may know more.
+            if let Some(peer) = self.any_peer() {
+                self.follow(peer, Duration::ZERO).await;
+            }
+            let jitter = rand::rng().random_range(0.0..1.0);
+            sleep(RETRY_PAUSE + RETRY_PAUSE.mul_f64(jitter)).await;
+        }
+    }
+
+    /// Returns the process to follow, `None` if this one reads the source.
+    fn reader(&self) -> Option<SocketAddr> {
+        let now = self.board.now();
+        let live = self.board.roster().live_addrs(now);
+        let first = *live.first()?;
+        (first != self.board.settings.peer_addr).then_some(first)
+    }
+
+    fn any_peer(&self) -> Option<SocketAddr> {
+        let now = self.board.now();
+        let own = self.board.settings.peer_addr;
+        let mut live = self.board.roster().live_addrs(now);
+        live.retain(|addr| *addr != own);
+        let index = rand::rng().random_range(0..live.len().max(1));
+        live.get(index).copied()
+    }
+
+    /// Asks another process for changes; true if it is as current as a reader.
+    async fn follow(&mut self, peer: SocketAddr, wait: Duration) -> bool {
+        let asked_at = self.board.now();
+        let request = PeerRequest::Follow(FollowRequest {
+            after: self.board.state().revision(),
+            wait,
+        });
+        let update = match self.peers.call(peer, &request, wait + REPLY_TIMEOUT).await {
+            Ok(PeerReply::Follow(update)) => update,
+            Ok(_) => {
+                tracing::warn!(%peer, "process does not serve followers");
+                return false;
+            }
+            Err(error) => {
+                tracing::info!(%peer, %error, "process cannot be followed");
+                return false;
+            }
+        };
+        let is_current = update.age <= READER_AGE_MAX;
+        if !is_current {
+            tracing::info!(
+                %peer, age_ms = update.age.as_millis(), revision = update.revision,
+                "process is not current"
+            );
+        }
+        // A watch that waited proves nothing about the time before its reply; only the age counts.
+        let known_at = match update.changes.is_empty() {
+            true => self.board.now(),
+            false => asked_at,
+        };
+        apply(&self.board, &update, known_at);
+        is_current
+    }
+
+    /// Reads or watches the source; false if it does not answer.
+    async fn read_source(&mut self) -> bool {
+        let asked_at = self.board.now();
+        let revision = self.board.state().revision();
+        let is_read = revision == 0 || self.needs_read;
+        let reading = match is_read {
+            true => (self.source.read)(),
+            false => (self.source.watch)(revision, WATCH_WAIT),
+        };
+        let result = timeout(WATCH_WAIT + REPLY_TIMEOUT, reading).await;
+        let context = match result {
+            Ok(Ok(update)) => {
+                self.needs_read = false;
+                self.note_link(Link::Up, "");
+                let has_changes = !update.changes.is_empty();
+                let known_at = match is_read || has_changes {
+                    true => asked_at,
+                    false => self.board.now(),
+                };
+                apply(&self.board, &update, known_at);
+                if has_changes {
+                    sleep(BATCH_PAUSE).await;
+                }
+                return true;
+            }
+            Ok(Err(error)) if error.kind == SourceErrorKind::HistoryGone => {
+                tracing::info!(
+                    revision,
+                    "history of the source is gone, reading the whole state"
+                );
+                self.needs_read = true;
+                return true;
+            }
+            Ok(Err(error)) => error.context,
+            Err(_) => "no reply in time".into(),
+        };
+        let now = self.board.now();
+        self.board.state().note_trouble(now);
+        self.note_link(Link::Down, &context);
+        false
+    }
+
+    fn note_link(&mut self, link: Link, context: &str) {
+        if self.source_link == link {
+            return;
+        }
+        self.source_link = link;
+        let age_ms = self
+            .board
+            .state()
+            .age(self.board.now())
+            .map(|age| age.as_millis() as u64);
+        match link {
+            Link::Up => tracing::info!(age_ms, "source answers"),
+            Link::Down | Link::Unknown => tracing::warn!(age_ms, context, "source does not answer"),
+        }
+    }
+}
+
+/// Answers a follower: at once if there is something newer or this process is not current.
+pub async fn serve_follower(board: &Board, request: FollowRequest) -> Update {
+    let mut revisions = board.revisions();
+    let is_idle = {
+        let state = board.state();
+        let age = state.age(board.now()).unwrap_or(Duration::MAX);
+        state.revision() == request.after && age <= READER_AGE_MAX
+    };
+    if is_idle {
+        let changed = revisions.wait_for(|revision| *revision != request.after);
+        // Either there is a change or the wait is over; both are answered from the state.
+        let _ = timeout(request.wait, changed).await;
+    }
+    board.state().update_since(request.after, board.now())
+}
+
+/// Takes in an update and everything that follows from it.
+pub fn apply(board: &Board, update: &Update, known_at: Duration) {
+    let now = board.now();
+    let applied = board.state().apply(update, known_at, now);
+    if applied.text {
+        board.install_text();
+    }
+    if applied.text || applied.targets {
+        board.sync_fleet();
+    }
+    board.note_revision();
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/front/handler.rs
@@ -0,0 +1,233 @@
+//! One request of a caller: route, key, rate, then the targets.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderName, Request, Response,
+    header::{
+        CONNECTION,
+        CONTENT_LENGTH,
+        HOST,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE, //
+    },
+    request::Parts,
+};
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::body::Incoming;
+use limpet_decide::quarantine::Verdict;
+use limpet_types::deployment::Destination;
+use tokio::time::Instant;
+
+use super::respond::respond;
+use crate::{
+    board::Board,
+    query::{
+        Outcome,
+        QueryContext,
+        Refusal,
+        RefusalReason,
+        fingerprint,
+        run_gather,
+        run_single, //
+    },
+    table::RouteTable,
+    target::OutgoingRequest,
+};
+
+/// Taken off the time of a caller, for the way back.
+const CALLER_MARGIN: Duration = Duration::from_millis(20);
+/// When a caller may come back that met a process without a text, or a service without a target.
+const RETRY_SOON: Duration = Duration::from_millis(200);
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 6] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// What the log line of a request tells.
+#[derive(Debug, Default)]
+struct Trace {
+    route: Box<str>,
+    team: Box<str>,
+    version: u64,
+}
+
+/// Answers one request.
+pub(super) async fn handle(board: Arc<Board>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let request_id = head.headers.get(&board.dialect.request_id).cloned();
+    let mut trace = Trace::default();
+    let outcome = run(&board, head, body, arrived, &mut trace).await;
+    let took = arrived.elapsed();
+    let label = match &outcome {
+        Ok(_) => "answered",
+        Err(refusal) => refusal.reason.label(),
+    };
+    let missing = outcome.as_ref().map_or(0, crate::query::Answer::missing);
+    tracing::info!(
+        request_id = request_id
+            .as_ref()
+            .and_then(|id| id.to_str().ok())
+            .unwrap_or("none"),
+        route = &*trace.route,
+        team = &*trace.team,
+        version = trace.version,
+        outcome = label,
+        missing,
+        not_run = outcome
+            .as_ref()
+            .err()
+            .is_some_and(|refusal| refusal.is_not_run),
+        took_us = took.as_micros(),
+        "request"
+    );
+    metrics::counter!("limpet_requests_total", "outcome" => label).increment(1);
+    metrics::histogram!("limpet_request_seconds").record(took.as_secs_f64());
+    respond(&board, request_id, outcome)
+}
+
+async fn run(
+    board: &Arc<Board>,
+    head: Parts,
+    body: Incoming,
+    arrived: Instant,
+    trace: &mut Trace,
+) -> Outcome {
+    let no_text = Refusal::not_run(RefusalReason::NoText).with_retry_after(RETRY_SOON);
+    let table = board.table.load_full().ok_or(no_text)?;
+    trace.version = table.text().version;
+    let limits = &table.text().limits;
+    let body = Limited::new(body, limits.body_max_bytes).collect().await;
+    let body = body.map_err(|error| body_refusal(&*error))?.to_bytes();
+    let query = admit(board, table, head, body, arrived, trace)?;
+    let query = Arc::new(query);
+    match &query.route.destination {
+        Destination::Split(split) => run_single(Arc::clone(&query), split).await,
+        Destination::Gather(gather) => run_gather(Arc::clone(&query), gather).await,
+    }
+}
+
+fn body_refusal(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Refusal {
+    match error.is::<http_body_util::LengthLimitError>() {
+        true => Refusal::not_run(RefusalReason::BodyTooLarge),
+        false => Refusal::not_run(RefusalReason::BadRequest),
+    }
+}
+
+/// Finds route and team, takes a token of the team's rate and prepares the request for targets.
+fn admit(
+    board: &Arc<Board>,
+    table: Arc<RouteTable>,
+    head: Parts,
+    body: Bytes,
+    arrived: Instant,
+    trace: &mut Trace,
+) -> Result<QueryContext, Refusal> {
+    let dialect = &board.dialect;
+    let bad_request = Refusal::not_run(RefusalReason::BadRequest);
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.ok_or(bad_request)?;
+    let request_id = head.headers.get(&dialect.request_id).cloned();
+    let request_id = request_id.ok_or(bad_request)?;
+    let route = table.route(host, head.uri.path());
+    let route = route
+        .ok_or(Refusal::not_run(RefusalReason::NoRoute))?
+        .clone();
+    trace.route = route.name.clone();
+    let key = head
+        .headers
+        .get(&dialect.api_key)
+        .map(|key| key.to_str().unwrap_or_default());
+    let bad_key = |_| Refusal::not_run(RefusalReason::BadKey);
+    let team = table
+        .team(&route, key)
+        .map_err(bad_key)?
+        .map(|team| team.name.clone());
+    trace.team = team.clone().unwrap_or_default();
+
+    let waits = head
+        .headers
+        .get(&dialect.deadline_ms)
+        .and_then(|ms| ms.to_str().ok());
+    let waits = waits
+        .and_then(|ms| ms.trim().parse().ok())
+        .map(Duration::from_millis);
+    let time = waits.unwrap_or(route.timeout).min(route.timeout);
+    let margin = CALLER_MARGIN.min(time / 10);
+    let deadline = arrived + time - margin;
+    if deadline <= Instant::now() {
+        return Err(Refusal::not_run(RefusalReason::TimedOut));
+    }
+
+    let mut headers = forwarded(&head.headers);
+    for name in [&dialect.api_key, &dialect.team, &dialect.expected_target] {
+        headers.remove(name);
+    }
+    if let Some(team) = &team {
+        let value = http::HeaderValue::from_str(team).map_err(|_| bad_request)?;
+        headers.insert(&dialect.team, value);
+    }
+    let uri = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let request = OutgoingRequest {
+        method: head.method,
+        uri: uri.parse().map_err(|_| bad_request)?,
+        headers,
+        body,
+        request_id,
+    };
+    let fingerprint = fingerprint(&request, host, team.as_deref());
+    if board.strikes().verdict(fingerprint, board.now()) == Verdict::Quarantined {
+        return Err(Refusal::not_run(RefusalReason::Quarantined));
+    }
+    if let Some(team) = &team {
+        let admitted = board.ledger().admit(team, board.now());
+        admitted.map_err(|after| {
+            Refusal::not_run(RefusalReason::OverRate).with_retry_after(after) //
+        })?;
+    }
+    Ok(QueryContext {
+        board: Arc::clone(board),
+        table,
+        route,
+        request,
+        arrived,
+        deadline,
+        fingerprint,
+    })
+}
+
+/// Returns the headers without those that concern one connection only.
+fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let mut kept = headers.clone();
+    for name in CONNECTION_HEADERS.iter().chain(&named) {
+        if *name != HOST {
+            kept.remove(name);
+        }
+    }
+    kept.remove("keep-alive");
+    kept
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/front/mod.rs
@@ -0,0 +1,10 @@
+//! The side of the callers.
+
+mod handler;
+mod respond;
+mod server;
+
+pub use self::server::{
+    FrontServer,
+    serve, //
+};
--- /dev/null
+++ b/crates/limpet-gateway/src/front/respond.rs
@@ -0,0 +1,113 @@
+//! Answers and refusals as HTTP responses.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{
+    HeaderValue, Response, StatusCode,
+    header::{
+        CONNECTION,
+        CONTENT_LENGTH,
+        RETRY_AFTER,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE, //
+    },
+};
+use http_body_util::Full;
+
+use crate::{
+    board::Board,
+    dialect::Dialect,
+    query::{
+        Answer,
+        Outcome,
+        Refusal, //
+    },
+    target::TargetReply, //
+};
+
+/// Builds the response to a caller; a process that stops asks the caller to close the connection.
+pub(super) fn respond(
+    board: &Board,
+    request_id: Option<HeaderValue>,
+    outcome: Outcome,
+) -> Response<Full<Bytes>> {
+    let mut response = match outcome {
+        Ok(Answer::Reply(reply)) => unchanged(&board.dialect, reply),
+        Ok(Answer::Gathered {
+            signatures,
+            missing,
+            body,
+        }) => gathered(&board.dialect, &signatures, missing, body),
+        Err(refusal) => refused(refusal),
+    };
+    let headers = response.headers_mut();
+    if let Some(id) = request_id {
+        headers.insert(&board.dialect.request_id, id);
+    }
+    if board.is_draining() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn unchanged(dialect: &Dialect, reply: TargetReply) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(reply.body));
+    *response.status_mut() = reply.status;
+    let mut headers = reply.headers;
+    for name in [
+        CONNECTION,
+        CONTENT_LENGTH,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove(&dialect.target_id);
+    *response.headers_mut() = headers;
+    response
+}
+
+fn gathered(
+    dialect: &Dialect,
+    signatures: &[HeaderValue],
+    missing: usize,
+    body: Vec<u8>,
+) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let headers = response.headers_mut();
+    let list: Vec<&[u8]> = signatures.iter().map(HeaderValue::as_bytes).collect();
+    match HeaderValue::from_bytes(&list.join(&b", "[..])) {
+        Ok(list) => headers.insert(&dialect.part_signatures, list),
+        Err(error) => {
+            tracing::error!(%error, "signatures of parts cannot be sent");
+            return refused(Refusal::maybe_run(crate::query::RefusalReason::Broken));
+        }
+    };
+    headers.insert(&dialect.missing_parts, HeaderValue::from(missing));
+    response
+}
+
+fn refused(refusal: Refusal) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(
+        refusal.reason.label().as_bytes(),
+    )));
+    *response.status_mut() = refusal.status();
+    let promises_not_run = matches!(
+        refusal.status(),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    if let Some(after) = refusal.retry_after.filter(|_| promises_not_run) {
+        response.headers_mut().insert(RETRY_AFTER, seconds(after));
+    }
+    response
+}
+
+/// Seconds with three decimals, as the deployments accept fractions.
+fn seconds(time: Duration) -> HeaderValue {
+    let text = format!("{:.3}", time.as_secs_f64());
+    HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/front/server.rs
@@ -0,0 +1,155 @@
+//! Listener for callers over HTTP/1.1.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use hyper::{
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::watch,
+    task::{
+        JoinHandle,
+        JoinSet, //
+    },
+};
+
+use super::handler::handle;
+use crate::board::Board;
+
+/// Pause after a failed accept; without it the loop would keep the processor busy.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Least size of the read buffer that hyper accepts.
+const HEAD_BUFFER_MIN_BYTES: usize = 8192;
+/// Bounds before the first text.
+const HEAD_DEFAULT_BYTES: usize = 16 << 10;
+const IDLE_DEFAULT: Duration = Duration::from_secs(15);
+
+/// How far the server has come in its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Serving,
+    Closing,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct FrontServer {
+    stage: watch::Sender<Stage>,
+    accepting: JoinHandle<()>,
+    local_addr: SocketAddr,
+}
+
+impl FrontServer {
+    /// Returns the address on which the server listens.
+    pub const fn local_addr(&self) -> SocketAddr {
+        self.local_addr
+    }
+
+    /// Stops accepting, closes idle connections and waits for requests in flight, at most `limit`.
+    pub async fn stop(self, limit: Duration) {
+        let _ = self.stage.send(Stage::Closing);
+        let aborted = self.accepting.abort_handle();
+        if tokio::time::timeout(limit, self.accepting).await.is_err() {
+            tracing::warn!(limit_ms = limit.as_millis(), "requests were cut at the end");
+            aborted.abort();
+        }
+    }
+}
+
+/// Serves callers on `listener` until [`FrontServer::stop`].
+///
+/// # Errors
+///
+/// Fails if the listener has no address.
+pub fn serve(listener: TcpListener, board: Arc<Board>) -> std::io::Result<FrontServer> {
+    let local_addr = listener.local_addr()?;
+    let (stage, watching) = watch::channel(Stage::Serving);
+    let accepting = tokio::spawn(accept(listener, board, watching));
+    Ok(FrontServer {
+        stage,
+        accepting,
+        local_addr,
+    })
+}
+
+async fn accept(listener: TcpListener, board: Arc<Board>, mut stage: watch::Receiver<Stage>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(serve_connection(stream, Arc::clone(&board), stage.clone()));
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "caller connection not accepted");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next(), if !connections.is_empty() => {}
+            _ = stage.changed() => break,
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_connection(stream: TcpStream, board: Arc<Board>, mut stage: watch::Receiver<Stage>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "caller connection ended before its first request");
+        return;
+    }
+    let (head_max_bytes, idle_timeout) = {
+        let table = board.table.load();
+        table
+            .as_ref()
+            .map_or((HEAD_DEFAULT_BYTES, IDLE_DEFAULT), |table| {
+                let limits = &table.text().limits;
+                (limits.head_max_bytes, limits.idle_timeout)
+            })
+    };
+    let service_board = Arc::clone(&board);
+    let service = service_fn(move |request| {
+        let board = Arc::clone(&service_board);
+        async move { Ok::<_, Infallible>(handle(board, request).await) }
+    });
+    // The time for a head runs from the end of the request before it, so it bounds idle time too.
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_timeout)
+        .max_buf_size(head_max_bytes.max(HEAD_BUFFER_MIN_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    loop {
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    tracing::debug!(%error, "caller connection ended");
+                }
+                return;
+            }
+            changed = stage.changed() => {
+                if changed.is_err() || *stage.borrow() == Stage::Closing {
+                    connection.as_mut().graceful_shutdown();
+                    break;
+                }
+            }
+        }
+    }
+    if let Err(error) = connection.await {
+        tracing::debug!(%error, "caller connection ended");
+    }
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -0,0 +1,205 @@
+//! Reports between processes, in datagrams.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use limpet_types::codec;
+use rand::seq::SliceRandom;
+use tokio::{
+    net::UdpSocket,
+    time::{
+        MissedTickBehavior,
+        interval, //
+    },
+};
+
+use super::{
+    NodeId,
+    Report, //
+};
+use crate::board::Board;
+
+/// Time between two reports.
+const REPORT_PERIOD: Duration = Duration::from_millis(150);
+/// Processes that get a report at a time; with more, each gets one in turn.
+const REPORT_FANOUT: usize = 16;
+/// Addresses of other processes in a report.
+const KNOWN_MAX: usize = 24;
+/// Suspected requests in a report.
+const STRIKES_MAX: usize = 8;
+/// Largest datagram.
+const DATAGRAM_MAX_BYTES: usize = 16 << 10;
+
+/// Why reports cannot be exchanged.
+#[derive(Debug, thiserror::Error)]
+pub enum GossipError {
+    /// The address cannot be used.
+    #[error("cannot use {addr} for reports: {error}")]
+    Bind {
+        /// The address.
+        addr: SocketAddr,
+        /// Error of the system.
+        error: std::io::Error,
+    },
+}
+
+/// The controller that tells other processes what this one admitted and hears the same of them.
+#[derive(Debug)]
+pub struct Gossip {
+    board: Arc<Board>,
+    socket: UdpSocket,
+    node: NodeId,
+}
+
+impl Gossip {
+    /// Binds the address for reports.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be used.
+    pub async fn bind(board: Arc<Board>) -> Result<Self, GossipError> {
+        let addr = board.settings.peer_addr;
+        let socket = UdpSocket::bind(addr).await;
+        let socket = socket.map_err(|error| GossipError::Bind { addr, error })?;
+        Ok(Self {
+            board,
+            socket,
+            node: rand::random(),
+        })
+    }
+
+    /// Exchanges reports until it is dropped.
+    pub async fn run(self: Arc<Self>) {
+        let mut ticks = interval(REPORT_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    self.expire();
+                    self.send(false).await;
+                }
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((size, from)) => self.receive(&buffer[..size], from),
+                    // A host without a listener may report that; its silence is seen anyway.
+                    Err(error) => tracing::debug!(%error, "report not received"),
+                },
+            }
+        }
+    }
+
+    /// Tells every process that this one admits nothing more.
+    pub async fn leave(&self) {
+        self.send(true).await;
+    }
+
+    async fn send(&self, is_leaving: bool) {
+        let board = &self.board;
+        let now = board.now();
+        let mut addrs = board.roster().addrs();
+        addrs.shuffle(&mut rand::rng());
+        if !is_leaving {
+            addrs.truncate(REPORT_FANOUT);
+        }
+        let mut known = board.roster().live_addrs(now);
+        known.shuffle(&mut rand::rng());
+        known.truncate(KNOWN_MAX);
+        let mut report = Report {
+            node: self.node,
+            addr: board.settings.peer_addr,
+            is_leaving,
+            hears_receiver: false,
+            counts: board.ledger().counts(),
+            known,
+            strikes: board.strikes().export(STRIKES_MAX, now),
+            revision: board.state().revision(),
+        };
+        for addr in addrs {
+            report.hears_receiver = board.roster().is_heard(addr, now);
+            let bytes = match codec::encode(&report) {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    tracing::error!(%error, "report cannot be encoded");
+                    return;
+                }
+            };
+            if let Err(error) = self.socket.send_to(&bytes, addr).await {
+                tracing::debug!(%addr, %error, "report not sent");
+            }
+            metrics::counter!("limpet_report_bytes_total").increment(bytes.len() as u64);
+        }
+    }
+
+    fn receive(&self, bytes: &[u8], from: SocketAddr) {
+        let report: Report = match codec::decode(bytes) {
+            Ok(report) => report,
+            Err(error) => {
+                tracing::warn!(%from, %error, "report cannot be read");
+                return;
+            }
+        };
+        let board = &self.board;
+        let now = board.now();
+        if report.is_leaving {
+            let left = board.roster().leave(report.addr);
+            if let Some(node) = left {
+                tracing::info!(addr = %report.addr, node, "process left");
+                board
+                    .ledger()
+                    .report(node, &report.counts, Duration::ZERO, now);
+                board.ledger().forget(node);
+            }
+            self.update_presence(now);
+            return;
+        }
+        let heard = {
+            let mut roster = board.roster();
+            roster.mention(&report.known, now);
+            roster.hear(report.addr, report.node, report.revision, now)
+        };
+        if heard.is_new {
+            tracing::info!(addr = %report.addr, node = report.node, replaced = heard.replaced,
+                "process met");
+        } else if !heard.silence.is_zero() {
+            tracing::info!(addr = %report.addr, node = report.node,
+                silence_ms = heard.silence.as_millis(), "process heard again");
+        }
+        if let Some(node) = heard.replaced {
+            board.ledger().forget(node);
+        }
+        self.update_presence(now);
+        board
+            .ledger()
+            .report(report.node, &report.counts, heard.silence, now);
+        board.strikes().merge(&report.strikes, now);
+    }
+
+    fn expire(&self) {
+        let now = self.board.now();
+        let gone = self.board.roster().expire(now);
+        for node in gone {
+            tracing::info!(node, "process gone, its part of the rates is shared again");
+            self.board.ledger().forget(node);
+        }
+        self.update_presence(now);
+    }
+
+    fn update_presence(&self, now: Duration) {
+        let presence = self.board.roster().presence(now);
+        let before = self.board.ledger().presence();
+        if presence == before {
+            return;
+        }
+        tracing::info!(
+            processes = presence.processes,
+            silent = presence.silent,
+            processes_before = before.processes,
+            silent_before = before.silent,
+            "processes that share the rates"
+        );
+        self.board.ledger().set_presence(presence, now);
+    }
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/members/message.rs
@@ -0,0 +1,35 @@
+//! Reports that processes send each other in datagrams.
+
+use std::net::SocketAddr;
+
+use limpet_types::message::Strike;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::rate::TeamCount;
+
+/// Random number of one process incarnation.
+pub type NodeId = u64;
+
+/// What one process tells another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Incarnation of the sender.
+    pub node: NodeId,
+    /// Address for reports to the sender.
+    pub addr: SocketAddr,
+    /// Whether the sender stops and admits nothing more.
+    pub is_leaving: bool,
+    /// Whether the sender has heard the receiver, so that reports pass both ways.
+    pub hears_receiver: bool,
+    /// Requests that the sender admitted.
+    pub counts: Vec<TeamCount>,
+    /// Other processes that the sender knows.
+    pub known: Vec<SocketAddr>,
+    /// Requests that crashed targets.
+    pub strikes: Vec<Strike>,
+    /// Newest revision of the deployment's state that the sender knows.
+    pub revision: u64,
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/members/mod.rs
@@ -0,0 +1,20 @@
+//! The other processes of the fleet: who they are and what they admitted.
+
+mod gossip;
+mod message;
+mod roster;
+
+pub use self::{
+    gossip::{
+        Gossip,
+        GossipError, //
+    },
+    message::{
+        NodeId,
+        Report, //
+    },
+    roster::{
+        Roster,
+        RosterLimits, //
+    },
+};
--- /dev/null
+++ b/crates/limpet-gateway/src/members/roster.rs
@@ -0,0 +1,182 @@
+//! Which processes are there, as far as one of them can tell.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    time::Duration,
+};
+
+use super::NodeId;
+use crate::rate::Presence;
+
+/// Times after which a process counts as silent or gone.
+#[derive(Clone, Copy, Debug)]
+pub struct RosterLimits {
+    /// A process not heard for this time is silent.
+    pub silent_after: Duration,
+    /// A process not heard for this time is gone.
+    pub gone_after: Duration,
+    /// Addresses to ask first; they may be stale.
+    pub seeds_max: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    node: NodeId,
+    heard_at: Duration,
+    revision: u64,
+}
+
+/// Processes heard, by address.
+#[derive(Debug)]
+pub struct Roster {
+    limits: RosterLimits,
+    own_addr: SocketAddr,
+    seeds: BTreeSet<SocketAddr>,
+    members: BTreeMap<SocketAddr, Member>,
+    /// Addresses that others told, not heard yet, with the time of the first mention.
+    candidates: BTreeMap<SocketAddr, Duration>,
+}
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// Whether the sender was not known before.
+    pub is_new: bool,
+    /// Incarnation that the sender replaces.
+    pub replaced: Option<NodeId>,
+    /// Time beyond the limit for which the sender was silent.
+    pub silence: Duration,
+}
+
+impl Roster {
+    /// Creates a roster that knows only the seeds.
+    pub fn new(limits: RosterLimits, own_addr: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let seeds = seeds.iter().copied().filter(|seed| *seed != own_addr);
+        Self {
+            limits,
+            own_addr,
+            seeds: seeds.collect(),
+            members: BTreeMap::new(),
+            candidates: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the addresses to ask first.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        let own = self.own_addr;
+        self.seeds = seeds.iter().copied().filter(|seed| *seed != own).collect();
+    }
+
+    /// Notes a report of a process.
+    pub fn hear(&mut self, addr: SocketAddr, node: NodeId, revision: u64, now: Duration) -> Heard {
+        self.candidates.remove(&addr);
+        let member = Member {
+            node,
+            heard_at: now,
+            revision,
+        };
+        let before = self.members.insert(addr, member);
+        let same = before.as_ref().filter(|before| before.node == node);
+        let silence = same.map_or(Duration::ZERO, |before| now.saturating_sub(before.heard_at));
+        Heard {
+            is_new: same.is_none(),
+            replaced: before.filter(|b| b.node != node).map(|b| b.node),
+            silence: silence.saturating_sub(self.limits.silent_after),
+        }
+    }
+
+    /// Notes addresses that another process knows.
+    pub fn mention(&mut self, known: &[SocketAddr], now: Duration) {
+        for addr in known {
+            if *addr != self.own_addr && !self.members.contains_key(addr) {
+                self.candidates.entry(*addr).or_insert(now);
+            }
+        }
+    }
+
+    /// Removes a process that stops; returns its incarnation.
+    pub fn leave(&mut self, addr: SocketAddr) -> Option<NodeId> {
+        self.candidates.remove(&addr);
+        self.members.remove(&addr).map(|member| member.node)
+    }
+
+    /// Removes processes that were silent too long; returns their incarnations.
+    ///
+    /// A process that hears less than half of those it once knew may itself be the one that is cut
+    /// off, so it gives up nobody and keeps to its own part of every rate.
+    pub fn expire(&mut self, now: Duration) -> Vec<NodeId> {
+        let gone_after = self.limits.gone_after;
+        self.candidates.retain(|_, since| now < *since + gone_after);
+        let heard = self.heard(now);
+        if (heard + 1) * 2 < self.members.len() + 1 {
+            return Vec::new();
+        }
+        let mut gone = Vec::new();
+        self.members.retain(|_, member| {
+            let is_kept = now < member.heard_at + gone_after;
+            if !is_kept {
+                gone.push(member.node);
+            }
+            is_kept
+        });
+        gone
+    }
+
+    /// Returns who shares the rates.
+    ///
+    /// A process that was started later and has heard nobody although others should be there
+    /// counts the seeds as silent processes.
+    pub fn presence(&self, now: Duration) -> Presence {
+        if self.members.is_empty() {
+            return Presence {
+                processes: self.seeds.len() + 1,
+                silent: self.seeds.len(),
+            };
+        }
+        Presence {
+            processes: self.members.len() + 1,
+            silent: self.members.len() - self.heard(now),
+        }
+    }
+
+    /// Returns the number of other processes heard within the limit.
+    pub fn heard(&self, now: Duration) -> usize {
+        let is_heard = |m: &&Member| now < m.heard_at + self.limits.silent_after;
+        self.members.values().filter(is_heard).count()
+    }
+
+    /// Returns whether a process was heard within the limit.
+    pub fn is_heard(&self, addr: SocketAddr, now: Duration) -> bool {
+        let member = self.members.get(&addr);
+        member.is_some_and(|m| now < m.heard_at + self.limits.silent_after)
+    }
+
+    /// Returns every address to report to.
+    pub fn addrs(&self) -> Vec<SocketAddr> {
+        let mut addrs: BTreeSet<SocketAddr> = self.members.keys().copied().collect();
+        addrs.extend(&self.candidates.keys().copied().collect::<Vec<_>>());
+        if self.members.len() < self.limits.seeds_max {
+            addrs.extend(&self.seeds);
+        }
+        addrs.into_iter().collect()
+    }
+
+    /// Returns the addresses of the processes heard, this one included, in a fixed order.
+    pub fn live_addrs(&self, now: Duration) -> Vec<SocketAddr> {
+        let is_heard = |m: &Member| now < m.heard_at + self.limits.silent_after;
+        let live = self.members.iter().filter(|(_, member)| is_heard(member));
+        let mut addrs: Vec<SocketAddr> = live.map(|(addr, _)| *addr).collect();
+        addrs.push(self.own_addr);
+        addrs.sort_unstable();
+        addrs
+    }
+
+    /// Returns the newest revision that a process heard of.
+    pub fn revision_max(&self) -> u64 {
+        self.members.values().map(|m| m.revision).max().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/query/gather.rs
@@ -0,0 +1,157 @@
+//! A request to one target of each shard.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use futures::{
+    StreamExt,
+    stream::FuturesUnordered, //
+};
+use http::HeaderValue;
+use limpet_types::deployment::Gather;
+use tokio::time::{
+    Instant,
+    sleep_until, //
+};
+
+use super::{
+    Answer, Outcome, QueryContext, Refusal, RefusalReason, greatest_records,
+    repeat::{
+        Failure,
+        Repeater, //
+    },
+};
+use crate::target::TargetReply;
+
+/// Part of the latency goal after which an answer goes out with the parts that are there.
+const PARTIAL_GOAL_PART: f64 = 0.85;
+/// Time kept for the way between the caller and this process in both directions, a new connection
+/// included; the longest that the users state is 3 ms one way.
+const CALLER_WAY: Duration = Duration::from_millis(14);
+
+struct Parts {
+    signatures: Vec<HeaderValue>,
+    bodies: Vec<bytes::Bytes>,
+    failed: usize,
+    is_maybe_run: bool,
+}
+
+/// Runs a request at every shard and answers with the parts that came in time.
+pub async fn run_gather(query: Arc<QueryContext>, gather: &Gather) -> Outcome {
+    let total = gather.shards.len();
+    let needed = (gather.coverage_min * total as f64 - 1e-9).ceil().max(1.0) as usize;
+    let mut running = FuturesUnordered::new();
+    let skipped = unsound_shards(&query, gather, needed);
+    for shard in gather
+        .shards
+        .iter()
+        .filter(|shard| !skipped.contains(shard))
+    {
+        running.push(Repeater::new(Arc::clone(&query), shard).run());
+    }
+    let mut parts = Parts {
+        signatures: Vec::with_capacity(total),
+        bodies: Vec::with_capacity(total),
+        failed: skipped.len(),
+        is_maybe_run: false,
+    };
+    let partial_at = partial_at(&query);
+    let mut is_late = false;
+    loop {
+        let arrived = parts.bodies.len();
+        if arrived == total || (is_late && arrived >= needed) || arrived + parts.failed == total {
+            break;
+        }
+        if total - parts.failed < needed {
+            break;
+        }
+        tokio::select! {
+            part = running.next() => match part {
+                Some(part) => parts.add(&query, part),
+                None => break,
+            },
+            () = sleep_until(partial_at), if !is_late => is_late = true,
+            () = sleep_until(query.deadline) => break,
+        }
+    }
+    let arrived = parts.bodies.len();
+    if arrived < needed {
+        parts.is_maybe_run |= !running.is_empty();
+        return Err(parts.refusal(&query));
+    }
+    tracing::debug!(
+        request_id = query.request_id(),
+        arrived,
+        total,
+        is_late,
+        "parts gathered"
+    );
+    Ok(Answer::Gathered {
+        signatures: parts.signatures,
+        missing: total - arrived,
+        body: greatest_records(&parts.bodies, gather.records_max),
+    })
+}
+
+/// Returns the shards that are left out because none of their targets answers, as long as the others
+/// cover enough. Once the targets may be tried again, their shard is asked again.
+fn unsound_shards<'a>(
+    query: &QueryContext,
+    gather: &'a Gather,
+    needed: usize,
+) -> Vec<&'a Box<str>> {
+    let now = query.board.now();
+    let fleet = query.board.fleet();
+    let unsound: Vec<&Box<str>> = gather
+        .shards
+        .iter()
+        .filter(|shard| !fleet.has_sound(shard, now))
+        .collect();
+    if gather.shards.len() - unsound.len() < needed {
+        return Vec::new();
+    }
+    unsound
+}
+
+/// Returns when an answer goes out without the parts of stragglers.
+fn partial_at(query: &QueryContext) -> Instant {
+    let goal = query.route.latency_goal;
+    let by_part = goal.mul_f64(PARTIAL_GOAL_PART);
+    let by_way = goal.saturating_sub(CALLER_WAY);
+    query.arrived + by_part.min(by_way).max(goal / 2)
+}
+
+impl Parts {
+    fn add(&mut self, query: &QueryContext, part: Result<TargetReply, Failure>) {
+        match part {
+            Ok(reply) => match reply.success_signature(&query.board.dialect.signature) {
+                Some(signature) => {
+                    self.signatures.push(signature.clone());
+                    self.bodies.push(reply.body);
+                }
+                None => {
+                    self.failed += 1;
+                    self.is_maybe_run = true;
+                }
+            },
+            Err(failure) => {
+                self.failed += 1;
+                self.is_maybe_run |= !failure.is_not_run;
+            }
+        }
+    }
+
+    /// A request did not run only if no shard ran it or may still do so.
+    fn refusal(&self, query: &QueryContext) -> Refusal {
+        if query.left().is_zero() {
+            return Refusal::maybe_run(RefusalReason::TimedOut);
+        }
+        let has_run = !self.bodies.is_empty() || self.is_maybe_run;
+        match has_run {
+            true => Refusal::maybe_run(RefusalReason::CoverageLow),
+            false => Refusal::not_run(RefusalReason::CoverageLow),
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -0,0 +1,26 @@
+//! The way of one request: to one target, or to one target of each shard.
+
+mod attempt;
+mod crash;
+mod gather;
+mod merge;
+mod outcome;
+mod query_context;
+mod repeat;
+mod single;
+
+pub use self::{
+    gather::run_gather,
+    merge::greatest_records,
+    outcome::{
+        Answer,
+        Outcome,
+        Refusal,
+        RefusalReason, //
+    },
+    query_context::{
+        QueryContext,
+        fingerprint, //
+    },
+    single::run_single,
+};
--- /dev/null
+++ b/crates/limpet-gateway/src/query/repeat.rs
@@ -0,0 +1,254 @@
+//! A request to one target of a service, repeated on others where that is allowed.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    time::Duration, //
+};
+
+use futures::{
+    Future,
+    StreamExt,
+    stream::FuturesUnordered, //
+};
+use limpet_types::deployment::TargetId;
+use tokio::time::{
+    Instant,
+    sleep,
+    sleep_until,
+    timeout, //
+};
+
+use super::{
+    QueryContext,
+    RefusalReason,
+    attempt::run_attempt, //
+};
+use crate::target::{
+    AttemptError,
+    Target,
+    TargetReply,
+    Wanted, //
+};
+
+/// Shortest time after which a repeat is sent while the first attempt still runs.
+const HEDGE_DELAY_MIN: Duration = Duration::from_millis(8);
+/// Latest time of such a repeat, as a part of the latency goal.
+const HEDGE_DELAY_GOAL_PART: f64 = 0.4;
+/// Time between two looks for a target when all connections are in use.
+const BUSY_PAUSE: Duration = Duration::from_millis(4);
+/// Time for which an attempt that lost goes on, because its connection can be used again after it.
+const LINGER: Duration = Duration::from_millis(150);
+
+/// Why a service gave no reply.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Failure {
+    /// Why.
+    pub(super) reason: RefusalReason,
+    /// Whether the request certainly did not run.
+    pub(super) is_not_run: bool,
+}
+
+type Running =
+    Pin<Box<dyn Future<Output = (Arc<Target>, Result<TargetReply, AttemptError>)> + Send>>;
+
+/// Attempts of one request at one service.
+pub(super) struct Repeater {
+    query: Arc<QueryContext>,
+    service: Box<str>,
+    tried: Vec<TargetId>,
+    sent: u32,
+    is_maybe_run: bool,
+    running: FuturesUnordered<Running>,
+    last_failed_reply: Option<TargetReply>,
+}
+
+impl Repeater {
+    /// Creates the attempts of a query at one service.
+    pub(super) fn new(query: Arc<QueryContext>, service: &str) -> Self {
+        query.board.note_first(service);
+        Self {
+            query,
+            service: service.into(),
+            tried: Vec::new(),
+            sent: 0,
+            is_maybe_run: false,
+            running: FuturesUnordered::new(),
+            last_failed_reply: None,
+        }
+    }
+
+    /// Runs attempts until one succeeds or nothing more may be sent.
+    ///
+    /// A failed reply of a target counts as a success if no repeat is possible.
+    pub(super) async fn run(mut self) -> Result<TargetReply, Failure> {
+        if let Err(failure) = self.start_first().await {
+            return Err(failure);
+        }
+        let mut hedge_at = self.hedge_at();
+        loop {
+            let next = tokio::select! {
+                next = self.running.next() => next,
+                () = sleep_until(hedge_at.unwrap_or(self.query.deadline)), if hedge_at.is_some() => {
+                    hedge_at = None;
+                    self.hedge();
+                    continue;
+                }
+                () = sleep_until(self.query.deadline) => return Err(self.timed_out()),
+            };
+            let Some((target, result)) = next else {
+                return self.finish();
+            };
+            match result {
+                Ok(reply) if !reply.status.is_server_error() => {
+                    self.linger();
+                    return Ok(reply);
+                }
+                Ok(reply) => {
+                    self.is_maybe_run = true;
+                    self.last_failed_reply = Some(reply);
+                    self.repeat_after("failed_reply", &target);
+                }
+                Err(error) => {
+                    self.is_maybe_run |= !error.kind.is_not_run();
+                    if !error.kind.has_arrived() {
+                        self.sent = self.sent.saturating_sub(1);
+                    }
+                    let may_repeat = error.kind.is_not_run() || self.query.route.is_repeatable();
+                    if may_repeat {
+                        self.repeat_after(error.kind.label(), &target);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Starts the first attempt as soon as a target has room.
+    async fn start_first(&mut self) -> Result<(), Failure> {
+        loop {
+            if self.start() {
+                return Ok(());
+            }
+            let is_there = self.query.board.fleet().has_any(&self.service);
+            if !is_there || self.query.left() < BUSY_PAUSE * 2 {
+                return Err(Failure {
+                    reason: RefusalReason::NoTarget,
+                    is_not_run: true,
+                });
+            }
+            sleep(BUSY_PAUSE).await;
+        }
+    }
+
+    /// Starts an attempt at a target that was not tried; false if there is none with room.
+    fn start(&mut self) -> bool {
+        let query = Arc::clone(&self.query);
+        let board = &query.board;
+        let service = query.table.service(&self.service);
+        let processes = board.ledger().presence().processes;
+        let wanted = Wanted {
+            service: &self.service,
+            zone: &board.settings.zone,
+            tried: &self.tried,
+            connections_max: service.map_or(1, |s| s.connections_max),
+            cold_rate_per_s: service.map_or(0.0, |s| s.cold_rate_per_s),
+            processes,
+        };
+        let limit = wanted.connections_limit();
+        let Some(target) = board.fleet().pick(&wanted, board.now()) else {
+            return false;
+        };
+        self.tried.push(target.id.clone());
+        self.sent += 1;
+        let attempt_query = Arc::clone(&query);
+        self.running.push(Box::pin(async move {
+            let result = run_attempt(&attempt_query, &target, limit).await;
+            (target, result)
+        }));
+        true
+    }
+
+    /// Returns when a repeat may be sent although the first attempt has not failed.
+    fn hedge_at(&self) -> Option<Instant> {
+        let route = &self.query.route;
+        if !route.is_repeatable() || route.attempts_max < 2 {
+            return None;
+        }
+        let goal = route.latency_goal.mul_f64(HEDGE_DELAY_GOAL_PART);
+        let board = &self.query.board;
+        let delay = board.with_latency(&route.name, |latency| latency.straggler_after());
+        let delay = delay.unwrap_or(goal).min(goal).max(HEDGE_DELAY_MIN);
+        Some(Instant::now() + delay)
+    }
+
+    fn hedge(&mut self) {
+        let board = Arc::clone(&self.query.board);
+        if self.sent >= self.query.route.attempts_max || self.running.is_empty() {
+            return;
+        }
+        let now = board.now();
+        let mean = board.with_latency(&self.query.route.name, |latency| latency.mean());
+        let waited = self.query.arrived.elapsed();
+        if let Some(id) = self.tried.last()
+            && let Some(target) = board.fleet().get(id)
+        {
+            target.view().note_straggler(waited, mean, now);
+        }
+        self.repeat("straggler");
+    }
+
+    fn repeat_after(&mut self, cause: &'static str, _target: &Target) {
+        if self.sent < self.query.route.attempts_max && self.query.left() > BUSY_PAUSE {
+            self.repeat(cause);
+        }
+    }
+
+    /// Sends the request once more if the budget of the service allows it.
+    fn repeat(&mut self, cause: &'static str) {
+        let board = Arc::clone(&self.query.board);
+        // What never reached a target is no load and needs no budget.
+        let is_first_arrival = self.sent == 0;
+        if !is_first_arrival && !board.try_repeat(&self.service) {
+            metrics::counter!("limpet_repeats_refused_total", "cause" => cause).increment(1);
+            return;
+        }
+        let is_sent = self.start();
+        metrics::counter!("limpet_repeats_total", "cause" => cause).increment(1);
+        tracing::info!(
+            request_id = self.query.request_id(), service = %self.service, cause, is_sent,
+            sent = self.sent, "request repeated"
+        );
+    }
+
+    /// Lets attempts that lost go on for a moment, for their connections.
+    fn linger(&mut self) {
+        if self.running.is_empty() {
+            return;
+        }
+        let mut running = std::mem::take(&mut self.running);
+        tokio::spawn(timeout(LINGER, async move {
+            while running.next().await.is_some() {}
+        }));
+    }
+
+    fn timed_out(&self) -> Failure {
+        Failure {
+            reason: RefusalReason::TimedOut,
+            is_not_run: false,
+        }
+    }
+
+    fn finish(self) -> Result<TargetReply, Failure> {
+        match self.last_failed_reply {
+            Some(reply) => Ok(reply),
+            None if self.is_maybe_run => Err(Failure {
+                reason: RefusalReason::Broken,
+                is_not_run: false,
+            }),
+            None => Err(Failure {
+                reason: RefusalReason::Shed,
+                is_not_run: true,
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/rate/account.rs
@@ -0,0 +1,105 @@
+//! Rate and burst of one team as one process sees them.
+
+use std::time::Duration;
+
+/// Overdraft that an account may hold, in seconds of its rate.
+///
+/// Reports of other processes arrive late, so that the sum may pass the burst; what was spent too
+/// much is paid back before anything else is admitted, but not without bound.
+const OVERDRAFT_MAX_S: f64 = 1.0;
+
+/// Part of the burst that a process which knows nothing of the past starts with.
+///
+/// Others may have spent the burst a moment ago, and the fleet may have started as a whole.
+const FIRST_LEVEL: f64 = 0.2;
+
+/// Token bucket of one team. Every process holds the whole bucket and takes from it what the others
+/// report; while some are silent it refills only by the part that is certainly not theirs.
+#[derive(Clone, Debug)]
+pub struct Account {
+    rate_per_s: f64,
+    burst: f64,
+    level: f64,
+    refilled_at: Duration,
+    admitted: u64,
+}
+
+impl Account {
+    /// Creates the account of a team; `is_first_start` tells that nothing was spent before.
+    pub fn new(rate_per_s: f64, burst: f64, is_first_start: bool, now: Duration) -> Self {
+        Self {
+            rate_per_s,
+            burst,
+            level: if is_first_start {
+                burst
+            } else {
+                burst * FIRST_LEVEL
+            },
+            refilled_at: now,
+            admitted: 0,
+        }
+    }
+
+    /// Returns whether the team has a limit.
+    pub fn is_limited(&self) -> bool {
+        self.rate_per_s > 0.0
+    }
+
+    /// Takes over a new rate and burst; the level never rises by it.
+    pub fn set_limits(&mut self, rate_per_s: f64, burst: f64) {
+        let had_limit = self.is_limited();
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
+        self.level = if had_limit {
+            self.level.min(burst)
+        } else {
+            burst * FIRST_LEVEL
+        };
+    }
+
+    /// Requests admitted by this process since its start.
+    pub const fn admitted(&self) -> u64 {
+        self.admitted
+    }
+
+    /// Admits one request, or tells after what time one may be admitted.
+    ///
+    /// # Errors
+    ///
+    /// The time until a token is there, if no other process takes it.
+    pub fn admit(&mut self, share: f64, now: Duration) -> Result<(), Duration> {
+        if self.is_limited() {
+            self.refill(share, now);
+            if self.level < 1.0 {
+                let wait_s = (1.0 - self.level) / (self.rate_per_s * share).max(f64::MIN_POSITIVE);
+                return Err(Duration::from_secs_f64(wait_s.clamp(0.0, 60.0)));
+            }
+            self.level -= 1.0;
+        }
+        self.admitted += 1;
+        Ok(())
+    }
+
+    /// Takes out what another process reported as admitted.
+    pub fn debit(&mut self, requests: f64, share: f64, now: Duration) {
+        if self.is_limited() {
+            self.refill(share, now);
+            let floor = -self.rate_per_s * OVERDRAFT_MAX_S;
+            self.level = (self.level - requests).max(floor);
+        }
+    }
+
+    /// Refills by the part `share` of the rate; a process that hears only some of the others also
+    /// holds only that part of the burst.
+    pub fn refill(&mut self, share: f64, now: Duration) {
+        let elapsed_s = now.saturating_sub(self.refilled_at).as_secs_f64();
+        self.refilled_at = now;
+        let level = self.level + elapsed_s * self.rate_per_s * share;
+        self.level = level.min((self.burst * share).max(1.0));
+    }
+
+    /// Requests per second of the whole fleet.
+    pub const fn rate_per_s(&self) -> f64 {
+        self.rate_per_s
+    }
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/rate/ledger.rs
@@ -0,0 +1,158 @@
+//! Accounts of all teams and what the other processes reported.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use limpet_types::deployment::Team;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::Account;
+use crate::members::NodeId;
+
+/// Requests of one team that one process admitted since its start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamCount {
+    /// Name of the team.
+    pub team: Box<str>,
+    /// Requests admitted.
+    pub admitted: u64,
+}
+
+/// Who shares the rates.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Presence {
+    /// Processes that may admit requests, this one included.
+    pub processes: usize,
+    /// Those of them that were not heard for a while.
+    pub silent: usize,
+}
+
+impl Presence {
+    /// Returns the part of each rate that the processes heard may use.
+    pub fn share(self) -> f64 {
+        let processes = self.processes.max(1);
+        let heard = processes.saturating_sub(self.silent).max(1);
+        heard as f64 / processes as f64
+    }
+}
+
+#[derive(Debug, Default)]
+struct Reported {
+    counts: HashMap<Box<str>, u64>,
+}
+
+/// Accounts of all teams.
+///
+/// Each process counts what it admits of each team and tells the others the sums, so that a lost or
+/// repeated report does no harm. A process that falls silent keeps its part of every rate until it is
+/// known to be gone; the same holds on its side, so that the two sides of a cut together stay within
+/// the rate.
+#[derive(Debug)]
+pub struct Ledger {
+    accounts: HashMap<Box<str>, Account>,
+    reported: HashMap<NodeId, Reported>,
+    presence: Presence,
+    is_first_start: bool,
+}
+
+impl Ledger {
+    /// Creates a ledger without teams.
+    pub fn new(is_first_start: bool) -> Self {
+        Self {
+            accounts: HashMap::new(),
+            reported: HashMap::new(),
+            presence: Presence {
+                processes: 1,
+                silent: 0,
+            },
+            is_first_start,
+        }
+    }
+
+    /// Takes over the teams of a text.
+    pub fn set_teams<'a>(&mut self, teams: impl Iterator<Item = &'a Team>, now: Duration) {
+        let share = self.presence.share();
+        let mut accounts = HashMap::new();
+        for team in teams {
+            let account = self.accounts.remove(&team.name);
+            let mut account = account.unwrap_or_else(|| {
+                Account::new(team.rate_per_s, team.burst, self.is_first_start, now)
+            });
+            account.refill(share, now);
+            account.set_limits(team.rate_per_s, team.burst);
+            accounts.insert(team.name.clone(), account);
+        }
+        self.accounts = accounts;
+        self.is_first_start = false;
+    }
+
+    /// Takes over who shares the rates, after what was earned until now.
+    pub fn set_presence(&mut self, presence: Presence, now: Duration) {
+        if presence != self.presence {
+            let share = self.presence.share();
+            self.accounts
+                .values_mut()
+                .for_each(|a| a.refill(share, now));
+            self.presence = presence;
+        }
+    }
+
+    /// Returns who shares the rates.
+    pub const fn presence(&self) -> Presence {
+        self.presence
+    }
+
+    /// Admits one request of a team.
+    ///
+    /// # Errors
+    ///
+    /// The time after which the team may have a token again.
+    pub fn admit(&mut self, team: &str, now: Duration) -> Result<(), Duration> {
+        let share = self.presence.share();
+        match self.accounts.get_mut(team) {
+            Some(account) => account.admit(share, now),
+            None => Ok(()),
+        }
+    }
+
+    /// Returns the sums of this process for a report.
+    pub fn counts(&self) -> Vec<TeamCount> {
+        let limited = self.accounts.iter().filter(|(_, a)| a.admitted() > 0);
+        limited
+            .map(|(team, account)| TeamCount {
+                team: team.clone(),
+                admitted: account.admitted(),
+            })
+            .collect()
+    }
+
+    /// Takes in the sums of another process; `silence` is how long it was not heard before, for which
+    /// its part of the rate was already left to it.
+    pub fn report(&mut self, node: NodeId, counts: &[TeamCount], silence: Duration, now: Duration) {
+        let share = self.presence.share();
+        let part = 1.0 / self.presence.processes.max(1) as f64;
+        let is_new = !self.reported.contains_key(&node);
+        let reported = self.reported.entry(node).or_default();
+        for count in counts {
+            let known = reported.counts.insert(count.team.clone(), count.admitted);
+            let Some(account) = self.accounts.get_mut(&count.team) else {
+                continue;
+            };
+            // The sum of a process met for the first time was admitted at an unknown time.
+            let base = known.unwrap_or(if is_new { count.admitted } else { 0 });
+            let requests = count.admitted.saturating_sub(base) as f64;
+            let left_to_it = silence.as_secs_f64() * account.rate_per_s() * part;
+            account.debit((requests - left_to_it).max(0.0), share, now);
+        }
+    }
+
+    /// Forgets a process that is gone.
+    pub fn forget(&mut self, node: NodeId) {
+        self.reported.remove(&node);
+    }
+}
--- /dev/null
+++ b/crates/limpet-gateway/src/table.rs
@@ -0,0 +1,99 @@
+//! Look-up of routes, keys and services in one version of the text.
+
+use std::{
+    collections::HashMap,
+    sync::Arc, //
+};
+
+use limpet_types::deployment::{
+    Route,
+    Service,
+    Team,
+    Text, //
+};
+
+/// Why a request has no team.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyError {
+    /// The request has no key.
+    Missing,
+    /// No team holds the key.
+    Unknown,
+}
+
+/// One version of the text, indexed.
+#[derive(Debug)]
+pub struct RouteTable {
+    text: Arc<Text>,
+    /// Routes of each host, the longest prefix first.
+    by_host: HashMap<Box<str>, Vec<usize>>,
+    teams_by_key: HashMap<Box<str>, usize>,
+    services: HashMap<Box<str>, usize>,
+}
+
+impl RouteTable {
+    /// Indexes a text.
+    pub fn new(text: Arc<Text>) -> Self {
+        let mut by_host: HashMap<Box<str>, Vec<usize>> = HashMap::new();
+        for (index, route) in text.routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(index);
+        }
+        for indexes in by_host.values_mut() {
+            indexes.sort_by_key(|index| std::cmp::Reverse(text.routes[*index].prefix.len()));
+        }
+        let mut teams_by_key = HashMap::new();
+        for (index, team) in text.teams.iter().flatten().enumerate() {
+            for key in &team.api_keys {
+                teams_by_key.insert(key.clone(), index);
+            }
+        }
+        let services = text.services.iter().enumerate();
+        let services = services.map(|(index, s)| (s.name.clone(), index)).collect();
+        Self {
+            text,
+            by_host,
+            teams_by_key,
+            services,
+        }
+    }
+
+    /// Returns the indexed text.
+    pub fn text(&self) -> &Text {
+        &self.text
+    }
+
+    /// Returns the route of a request: of its host, the one with the longest matching prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let indexes = self.by_host.get(host)?;
+        let routes = indexes.iter().map(|index| &self.text.routes[*index]);
+        routes.into_iter().find(|r| path.starts_with(&*r.prefix))
+    }
+
+    /// Returns the team that a request runs for, `None` if the route is open to all.
+    ///
+    /// # Errors
+    ///
+    /// The request needs a key of a team and has none.
+    pub fn team(&self, route: &Route, key: Option<&str>) -> Result<Option<&Team>, KeyError> {
+        let Some(teams) = &self.text.teams else {
+            return Ok(None);
+        };
+        if route.is_open {
+            return Ok(None);
+        }
+        let key = key.ok_or(KeyError::Missing)?;
+        let index = self.teams_by_key.get(key).ok_or(KeyError::Unknown)?;
+        Ok(Some(&teams[*index]))
+    }
+
+    /// Returns the teams, none if requests need no key.
+    pub fn teams(&self) -> impl Iterator<Item = &Team> {
+        self.text.teams.iter().flatten()
+    }
+
+    /// Returns a service by its name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let index = self.services.get(name)?;
+        Some(&self.text.services[*index])
+    }
+}
--- a/crates/limpet-peer/src/traffic.rs
+++ b/crates/limpet-peer/src/traffic.rs
@@ -24,6 +24,7 @@
         PeerRequest::Gossip(_) => "gossip",
         PeerRequest::ForwardOrder(_) => "forward_order",
         PeerRequest::Status => "status",
+        PeerRequest::Follow(_) => "follow",
     }
 }
 
@@ -36,6 +37,7 @@
         PeerReply::Gossip(_) => "gossip",
         PeerReply::ForwardOrder(_) => "forward_order",
         PeerReply::Status(_) => "status",
+        PeerReply::Follow(_) => "follow",
         PeerReply::Unsupported => "unsupported",
     }
 }
--- /dev/null
+++ b/crates/limpet-types/src/deployment/text.rs
@@ -0,0 +1,28 @@
+//! The operators' text.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    CallerLimits,
+    Route,
+    Service,
+    Team, //
+};
+
+/// One version of the configuration in full.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Text {
+    /// Version; only increases.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Teams; `None` if requests need no key at all.
+    pub teams: Option<Vec<Team>>,
+    /// Bounds of caller connections.
+    pub limits: CallerLimits,
+}
--- a/crates/limpet-types/src/lib.rs
+++ b/crates/limpet-types/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod clock;
 pub mod codec;
+pub mod deployment;
 pub mod hash;
 pub mod ids;
 pub mod key_range;
--- a/crates/limpet-types/src/message/mod.rs
+++ b/crates/limpet-types/src/message/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between limpetshunt processes.
 
 mod attempt;
+mod follow;
 mod gossip;
 mod grant;
 mod order;
@@ -13,6 +14,7 @@
     AttemptReply,
     AttemptRequest, //
 };
+pub use follow::FollowRequest;
 pub use gossip::{
     ConfigText,
     GossipReply,
--- a/crates/limpet-types/src/message/peer.rs
+++ b/crates/limpet-types/src/message/peer.rs
@@ -5,17 +5,21 @@
     Serialize, //
 };
 
-use crate::message::{
-    AttemptReply,
-    AttemptRequest,
-    ForwardOrderReply,
-    ForwardOrderRequest,
-    GossipReply,
-    GossipRequest,
-    GrantReply,
-    GrantRequest,
-    VoteReply,
-    VoteRequest, //
+use crate::{
+    deployment::Update,
+    message::{
+        AttemptReply,
+        AttemptRequest,
+        FollowRequest,
+        ForwardOrderReply,
+        ForwardOrderRequest,
+        GossipReply,
+        GossipRequest,
+        GrantReply,
+        GrantRequest,
+        VoteReply,
+        VoteRequest, //
+    },
 };
 
 /// Any request to a peer.
@@ -33,6 +37,8 @@
     ForwardOrder(ForwardOrderRequest),
     /// Ask for the peer's view.
     Status,
+    /// Wait for what changed in the deployment.
+    Follow(FollowRequest),
 }
 
 /// The peer's view as JSON, for `limpetctl status`.
@@ -57,6 +63,8 @@
     ForwardOrder(ForwardOrderReply),
     /// Reply to [`PeerRequest::Status`].
     Status(StatusReply),
+    /// Reply to [`PeerRequest::Follow`].
+    Follow(Update),
     /// The peer does not serve this kind of request.
     Unsupported,
 }
--- a/crates/limpetshuntd/src/peer_service.rs
+++ b/crates/limpetshuntd/src/peer_service.rs
@@ -30,6 +30,7 @@
             .await
             .map(PeerReply::ForwardOrder),
         PeerRequest::Status => Some(PeerReply::Status(admin::handle_status(context).await)),
+        PeerRequest::Follow(_) => None,
     };
     reply.unwrap_or(PeerReply::Unsupported)
 }
