Test the decisions of the gateway alone and over a fleet

Change: property tests play fleets over cuts and restarts against the users' bounds, each with a broken variant that must fail; gathering is driven through a whole gateway with stand-ins.

--- /dev/null
+++ b/crates/limpet-gateway/tests/gather.rs
@@ -0,0 +1,164 @@
+//! Requests to every shard: what an answer holds and what it says of the rest.
+
+mod support;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use limpet_types::deployment::Change;
+use support::{
+    Behaviour,
+    Deployment,
+    RunningGateway,
+    StandInTarget,
+    gather_route,
+    get,
+    record,
+    text, //
+};
+
+const SOON: Duration = Duration::from_millis(2);
+const A: &[u8; 16] = b"aaaaaaaaaaaaaaaa";
+const AB: &[u8; 32] = b"aaaaaaaaaaaaaaaabbbbbbbbbbbbbbbb";
+const C_AND_REST: &[u8; 20] = b"ccccccccccccccccrest";
+
+fn answers(body: &'static [u8]) -> Behaviour {
+    Behaviour::Answer(200, body, SOON)
+}
+
+/// Serves a route over shards with one target each.
+async fn serve(
+    behaviours: &[Behaviour],
+    coverage_min: f64,
+) -> (RunningGateway, Vec<StandInTarget>) {
+    let names: Vec<String> = (0..behaviours.len())
+        .map(|shard| format!("s{shard}"))
+        .collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let deployment = Deployment::new();
+    deployment.publish_text(text(
+        1,
+        vec![gather_route("/all/", &names, coverage_min)],
+        &names,
+    ));
+    let mut targets = Vec::new();
+    for (name, behaviour) in names.iter().zip(behaviours) {
+        let target = StandInTarget::always(behaviour.clone()).await;
+        deployment.publish_target(&format!("t-{name}"), record(name, target.addr));
+        targets.push(target);
+    }
+    (RunningGateway::start(&deployment).await, targets)
+}
+
+/// Guards against wrong records, a wrong order and a part that is not told.
+#[tokio::test]
+async fn answer_holds_the_greatest_records_of_all_parts() {
+    let behaviours = [answers(AB), answers(C_AND_REST), answers(A)];
+    let (gateway, _targets) = serve(&behaviours, 1.0).await;
+    let reply = get(gateway.caller_addr, "/all/q").await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(
+        &*reply.body,
+        b"ccccccccccccccccbbbbbbbbbbbbbbbbaaaaaaaaaaaaaaaa"
+    );
+    assert_eq!(reply.header("t-missing"), "0");
+    assert_eq!(reply.header("t-parts").split(", ").count(), 3);
+}
+
+async fn leaves_out(behaviour: Behaviour) {
+    let behaviours = [answers(AB), answers(A), behaviour];
+    let (gateway, _targets) = serve(&behaviours, 0.6).await;
+    let started = Instant::now();
+    let reply = get(gateway.caller_addr, "/all/q").await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header("t-missing"), "1");
+    assert_eq!(reply.header("t-parts").split(", ").count(), 2);
+    // The goal of the route is 400 ms; what is there by then is delivered.
+    assert!(started.elapsed() < Duration::from_millis(400));
+}
+
+async fn fails_without_coverage(behaviour: Behaviour) {
+    let (gateway, _targets) = serve(&[answers(A), behaviour], 0.9).await;
+    let started = Instant::now();
+    let reply = get(gateway.caller_addr, "/all/q").await;
+    // One shard has run the request, so that 503 would be false.
+    assert_eq!(reply.status, 502);
+    assert!(
+        started.elapsed() < Duration::from_secs(1),
+        "a lost cause is told at once"
+    );
+}
+
+macro_rules! parts {
+    ($run:ident: $($name:ident => $behaviour:expr;)+) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                $run($behaviour).await;
+            }
+        )+
+    };
+}
+
+// Guards against false coverage: each of these is not a part.
+parts! {
+    leaves_out:
+    failed_reply_is_no_part => Behaviour::Answer(500, A, SOON);
+    shed_request_is_no_part => Behaviour::Shed;
+    lost_reply_is_no_part => Behaviour::Close;
+    truncated_reply_is_no_part => Behaviour::Truncated;
+    crossed_reply_is_no_part => Behaviour::Crossed;
+    silent_target_is_no_part => Behaviour::Silent;
+}
+
+// Guards against success below the coverage that operators ask for, and against a false "not run".
+parts! {
+    fails_without_coverage:
+    failed_shard_ends_the_query => Behaviour::Answer(500, A, SOON);
+    shed_shard_ends_the_query => Behaviour::Shed;
+    lost_shard_ends_the_query => Behaviour::Close;
+}
+
+/// Guards against calling a query "not run" or "may have run" falsely when every shard refused it.
+#[tokio::test]
+async fn query_that_ran_nowhere_is_refused_as_not_run() {
+    let (gateway, _targets) = serve(&[Behaviour::Shed, Behaviour::Shed], 0.5).await;
+    assert_eq!(get(gateway.caller_addr, "/all/q").await.status, 503);
+}
+
+/// Guards against one answer from the shards of two versions.
+#[tokio::test]
+async fn running_query_keeps_the_shards_of_its_version() {
+    let slow = Behaviour::Answer(200, A, Duration::from_millis(200));
+    let old = [
+        StandInTarget::always(slow.clone()).await,
+        StandInTarget::always(slow).await,
+    ];
+    let new = StandInTarget::always(answers(AB)).await;
+    let deployment = Deployment::new();
+    let services = ["old0", "old1", "new0"];
+    let route = gather_route("/all/", &["old0", "old1"], 1.0);
+    deployment.publish_text(text(1, vec![route], &services));
+    deployment.publish_target("o0", record("old0", old[0].addr));
+    deployment.publish_target("o1", record("old1", old[1].addr));
+    deployment.publish_target("n0", record("new0", new.addr));
+    let gateway = RunningGateway::start(&deployment).await;
+    let addr = gateway.caller_addr;
+    let query = tokio::spawn(async move { get(addr, "/all/q").await });
+    while old[0].arrivals().is_empty() {
+        tokio::time::sleep(SOON).await;
+    }
+    let route = gather_route("/all/", &["new0"], 1.0);
+    deployment.publish(Change::Text(text(2, vec![route], &services).into()));
+    let reply = query.await.unwrap();
+    assert_eq!(reply.header("t-parts").split(", ").count(), 2);
+    assert!(
+        new.arrivals().is_empty(),
+        "a running query reached a shard of the next version"
+    );
+    while new.arrivals().is_empty() {
+        get(addr, "/all/q").await;
+    }
+}
--- /dev/null
+++ b/crates/limpet-gateway/tests/rate.rs
@@ -0,0 +1,196 @@
+//! Rates of teams summed over processes that hear each other late, partly or not at all.
+
+use std::time::Duration;
+
+use limpet_gateway::rate::{
+    Ledger,
+    Presence, //
+};
+use limpet_types::deployment::Team;
+use proptest::prelude::*;
+
+const RATE_PER_S: f64 = 40.0;
+const BURST: f64 = 40.0;
+const TICK: Duration = Duration::from_millis(50);
+/// Ticks between two reports, plus the way.
+const REPORT_TICKS: usize = 4;
+/// Window and bound of the users' rule.
+const WINDOW_TICKS: usize = 100;
+const EXCESS: f64 = 0.25;
+const SLACK: f64 = 20.0;
+
+fn team(rate_per_s: f64) -> Team {
+    Team {
+        name: "team".into(),
+        api_keys: Vec::new(),
+        priority: None,
+        rate_per_s,
+        burst: BURST,
+    }
+}
+
+/// What happens to a fleet.
+#[derive(Clone, Debug)]
+struct Course {
+    /// Requests that each process gets in a tick.
+    demand: Vec<usize>,
+    /// Processes before this index are cut off from the others, in these ticks.
+    cut_at: usize,
+    cut_ticks: std::ops::Range<usize>,
+    /// Whether processes notice who is silent.
+    notices_silence: bool,
+    /// Tick at which all processes start again.
+    restart_tick: usize,
+}
+
+/// Plays a course and returns the requests admitted in each tick.
+fn play(course: &Course) -> Vec<usize> {
+    let processes = course.demand.len();
+    let start = |is_first: bool, now: Duration| {
+        let mut ledger = Ledger::new(is_first);
+        ledger.set_teams([team(RATE_PER_S)].iter(), now);
+        ledger.set_presence(
+            Presence {
+                processes,
+                silent: 0,
+            },
+            now,
+        );
+        ledger
+    };
+    let mut ledgers: Vec<Ledger> = (0..processes)
+        .map(|_| start(true, Duration::ZERO))
+        .collect();
+    let mut incarnation = 0_u64;
+    let mut admitted = Vec::new();
+    for tick in 0..400 {
+        let now = TICK * tick as u32;
+        if tick == course.restart_tick {
+            incarnation += 100;
+            ledgers = (0..processes).map(|_| start(false, now)).collect();
+        }
+        let is_cut = course.cut_ticks.contains(&tick);
+        let hears = |a: usize, b: usize| !is_cut || (a < course.cut_at) == (b < course.cut_at);
+        // Silence is noticed one report period after the cut began.
+        let knows_cut = is_cut && tick >= course.cut_ticks.start + REPORT_TICKS;
+        for (index, ledger) in ledgers.iter_mut().enumerate() {
+            let silent = (0..processes).filter(|other| !hears(index, *other)).count();
+            let silent = if course.notices_silence && knows_cut {
+                silent
+            } else {
+                0
+            };
+            ledger.set_presence(Presence { processes, silent }, now);
+        }
+        if tick % REPORT_TICKS == 0 {
+            let counts: Vec<_> = ledgers.iter().map(Ledger::counts).collect();
+            for (index, ledger) in ledgers.iter_mut().enumerate() {
+                for (other, counts) in counts.iter().enumerate() {
+                    if index != other && hears(index, other) {
+                        let node = incarnation + other as u64;
+                        ledger.report(node, counts, Duration::ZERO, now);
+                    }
+                }
+            }
+        }
+        let mut sum = 0;
+        for (ledger, demand) in ledgers.iter_mut().zip(&course.demand) {
+            sum += (0..*demand)
+                .filter(|_| ledger.admit("team", now).is_ok())
+                .count();
+        }
+        admitted.push(sum);
+    }
+    admitted
+}
+
+fn breaks_the_bound(admitted: &[usize]) -> bool {
+    let window_s = TICK.as_secs_f64() * WINDOW_TICKS as f64;
+    let bound = (RATE_PER_S * window_s + BURST) * (1.0 + EXCESS) + SLACK;
+    admitted
+        .windows(WINDOW_TICKS)
+        .any(|window| window.iter().sum::<usize>() as f64 > bound)
+}
+
+fn course() -> impl Strategy<Value = Course> {
+    let demand = proptest::collection::vec(0_usize..3, 2..8);
+    (
+        demand,
+        0_usize..8,
+        50_usize..200,
+        20_usize..200,
+        150_usize..1000,
+    )
+        .prop_map(|(demand, cut_at, cut_from, cut_for, restart_tick)| Course {
+            demand,
+            cut_at,
+            cut_ticks: cut_from..cut_from + cut_for,
+            notices_silence: true,
+            restart_tick,
+        })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    /// Guards against more than rate and burst over cuts and restarts of the whole fleet.
+    #[test]
+    fn fleet_stays_within_the_rate(course in course()) {
+        prop_assert!(!breaks_the_bound(&play(&course)));
+    }
+}
+
+fn even_cut(notices_silence: bool) -> Course {
+    Course {
+        demand: vec![3; 6],
+        cut_at: 3,
+        cut_ticks: 60..360,
+        notices_silence,
+        restart_tick: usize::MAX,
+    }
+}
+
+/// Shows that the check can fail: two sides that each take the whole rate pass the bound.
+#[test]
+fn sides_that_take_over_each_others_part_break_the_bound() {
+    assert!(breaks_the_bound(&play(&even_cut(false))));
+    assert!(!breaks_the_bound(&play(&even_cut(true))));
+}
+
+/// Guards against refusing a team that stays within its rate in steady state.
+#[test]
+fn team_within_its_rate_is_not_refused() {
+    let mut course = even_cut(true);
+    course.demand = vec![1, 0, 0, 0, 0, 0];
+    course.cut_ticks = 0..0;
+    let admitted = play(&course);
+    assert!(
+        admitted.iter().all(|requests| *requests == 1),
+        "20/s of 40/s were refused"
+    );
+}
+
+/// Guards against a limit that a new text lowers but the level does not.
+#[test]
+fn lowered_limit_binds_at_once() {
+    let mut ledger = Ledger::new(true);
+    ledger.set_teams([team(1000.0)].iter(), Duration::ZERO);
+    let mut low = team(1.0);
+    low.burst = 2.0;
+    ledger.set_teams([low].iter(), Duration::ZERO);
+    let admitted = (0..50)
+        .filter(|_| ledger.admit("team", Duration::ZERO).is_ok())
+        .count();
+    assert_eq!(admitted, 2);
+}
+
+/// Guards against a refusal that names a time too short to be true.
+#[test]
+fn refusal_tells_when_a_token_comes() {
+    let mut ledger = Ledger::new(true);
+    ledger.set_teams([team(RATE_PER_S)].iter(), Duration::ZERO);
+    let wait = (0..200)
+        .find_map(|_| ledger.admit("team", Duration::ZERO).err())
+        .unwrap();
+    assert!(ledger.admit("team", wait).is_ok());
+}
--- /dev/null
+++ b/crates/limpet-gateway/tests/roster.rs
@@ -0,0 +1,128 @@
+//! Which processes are there.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use limpet_gateway::{
+    members::{
+        Roster,
+        RosterLimits, //
+    },
+    rate::Presence,
+};
+
+const LIMITS: RosterLimits = RosterLimits {
+    silent_after: Duration::from_millis(700),
+    gone_after: Duration::from_secs(12),
+    seeds_max: 3,
+};
+
+const fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn addr(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7000))
+}
+
+fn roster_with(others: u8) -> Roster {
+    let mut roster = Roster::new(LIMITS, addr(0), &[addr(0), addr(1), addr(2)]);
+    for number in 1..=others {
+        roster.hear(addr(number), u64::from(number), 0, at(0));
+    }
+    roster
+}
+
+/// Guards against a lone process that takes the whole rate because it has heard nobody yet.
+#[test]
+fn seeds_count_until_a_process_is_heard() {
+    let roster = roster_with(0);
+    assert_eq!(
+        roster.presence(at(0)),
+        Presence {
+            processes: 3,
+            silent: 2
+        }
+    );
+}
+
+/// Guards against taking over the part of a process that may only be cut off.
+#[test]
+fn silent_process_keeps_its_part() {
+    let mut roster = roster_with(3);
+    roster.hear(addr(1), 1, 0, at(1000));
+    roster.hear(addr(2), 2, 0, at(1000));
+    assert!(roster.expire(at(1200)).is_empty());
+    assert_eq!(
+        roster.presence(at(1200)),
+        Presence {
+            processes: 4,
+            silent: 1
+        }
+    );
+}
+
+/// Guards against a part that is lost for good with its process.
+#[test]
+fn silent_process_is_given_up_by_a_majority() {
+    let mut roster = roster_with(3);
+    for number in 1..=2 {
+        roster.hear(addr(number), u64::from(number), 0, at(12_100));
+    }
+    assert_eq!(roster.expire(at(12_200)), [3]);
+    assert_eq!(
+        roster.presence(at(12_200)),
+        Presence {
+            processes: 3,
+            silent: 0
+        }
+    );
+}
+
+/// Guards against a process that takes the whole rate because it alone is cut off.
+#[test]
+fn minority_gives_up_nobody() {
+    let mut roster = roster_with(4);
+    roster.hear(addr(1), 1, 0, at(60_000));
+    assert!(roster.expire(at(60_100)).is_empty());
+    assert_eq!(
+        roster.presence(at(60_100)),
+        Presence {
+            processes: 5,
+            silent: 3
+        }
+    );
+}
+
+/// Guards against counting a restarted process twice.
+#[test]
+fn restarted_process_replaces_its_former_incarnation() {
+    let mut roster = roster_with(2);
+    let heard = roster.hear(addr(1), 99, 0, at(100));
+    assert!(heard.is_new);
+    assert_eq!(heard.replaced, Some(1));
+    assert_eq!(roster.presence(at(100)).processes, 3);
+}
+
+/// Guards against processes that never meet because the seeds are stale.
+#[test]
+fn mentioned_process_is_asked() {
+    let mut roster = roster_with(1);
+    roster.mention(&[addr(0), addr(1), addr(7)], at(0));
+    let addrs = roster.addrs();
+    assert!(addrs.contains(&addr(7)));
+    assert!(
+        !addrs.contains(&addr(0)),
+        "a process does not report to itself"
+    );
+}
+
+/// Guards against waiting for a process that said that it leaves.
+#[test]
+fn process_that_leaves_is_gone_at_once() {
+    let mut roster = roster_with(2);
+    assert_eq!(roster.leave(addr(1)), Some(1));
+    assert_eq!(roster.presence(at(0)).processes, 2);
+}
