--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -29,6 +29,9 @@
 /// Longest time for a new connection. The packet that opens one is repeated only after a second, by
 /// when another target has answered.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Multiple of the mean latency after which a target that has not answered counts as silent; ordinary
+/// requests with the longest work take some five times the mean.
+const SILENCE_MEANS: u32 = 6;
 /// Taken off the time that a target gets, for the way back to the caller.
 const REPLY_MARGIN: Duration = Duration::from_millis(5);
 
@@ -40,10 +43,9 @@
 ) -> Result<TargetReply, AttemptError> {
     let board = &query.board;
     let _in_flight = InFlight::new(target);
-    let started = board.now();
+    let mut waiting = Waiting::new(query, target);
     let result = exchange(query, target, connections_limit).await;
-    let now = board.now();
-    let latency = now.saturating_sub(started);
+    let (latency, now) = waiting.end();
     let mean = board.with_latency(&query.route.name, |latency| latency.mean());
     match &result {
         Ok(reply) if reply.status.is_server_error() => {
@@ -77,6 +79,52 @@
     result
 }
 
+/// Notes a target that had not answered when its attempt was given up.
+struct Waiting<'a> {
+    query: &'a QueryContext,
+    target: &'a Target,
+    started: Duration,
+    is_over: bool,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(query: &'a QueryContext, target: &'a Target) -> Self {
+        Self {
+            query,
+            target,
+            started: query.board.now(),
+            is_over: false,
+        }
+    }
+
+    /// Ends the wait with an outcome; returns how long it took and the time.
+    fn end(&mut self) -> (Duration, Duration) {
+        self.is_over = true;
+        let now = self.query.board.now();
+        (now.saturating_sub(self.started), now)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let (waited, now) = self.end();
+        let route = &self.query.route.name;
+        let mean = self
+            .query
+            .board
+            .with_latency(route, |latency| latency.mean());
+        let Some(mean) = mean.filter(|mean| waited > *mean * SILENCE_MEANS) else {
+            return;
+        };
+        let mut view = self.target.view();
+        view.note_straggler(waited, Some(mean), now);
+        view.note_silence(now);
+    }
+}
+
 async fn exchange(
     query: &QueryContext,
     target: &Arc<Target>,
--- a/crates/limpet-gateway/src/rate/ledger.rs
+++ b/crates/limpet-gateway/src/rate/ledger.rs
@@ -114,10 +114,12 @@
     /// The time after which the team may have a token again.
     pub fn admit(&mut self, team: &str, now: Duration) -> Result<(), Duration> {
         let share = self.presence.share();
-        match self.accounts.get_mut(team) {
-            Some(account) => account.admit(share, now),
-            None => Ok(()),
-        }
+        let Some(account) = self.accounts.get_mut(team) else {
+            return Ok(());
+        };
+        // The processes take turns at the tokens of a team that wants more than there are.
+        let processes = self.presence.processes.max(1) as u32;
+        account.admit(share, now).map_err(|wait| wait * processes)
     }
 
     /// Returns the sums of this process for a report.
--- a/crates/limpet-gateway/tests/gather.rs
+++ b/crates/limpet-gateway/tests/gather.rs
@@ -2,9 +2,18 @@
 
 mod support;
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use limpet_types::deployment::Change;
@@ -162,3 +171,45 @@
         get(addr, "/all/q").await;
     }
 }
+
+/// Guards against waiting again and again for a shard whose targets fell silent.
+#[tokio::test]
+async fn silent_shard_is_left_out_without_waiting() {
+    let is_silent = Arc::new(AtomicBool::new(false));
+    let switch = Arc::clone(&is_silent);
+    let dark = StandInTarget::start(move |_, _| match switch.load(Ordering::Relaxed) {
+        true => Behaviour::Silent,
+        false => answers(A),
+    })
+    .await;
+    let sound = [
+        StandInTarget::always(answers(AB)).await,
+        StandInTarget::always(answers(A)).await,
+    ];
+    let names = ["s0", "s1", "s2"];
+    let deployment = Deployment::new();
+    deployment.publish_text(text(1, vec![gather_route("/all/", &names, 0.6)], &names));
+    for (name, target) in names.iter().zip([&dark, &sound[0], &sound[1]]) {
+        deployment.publish_target(&format!("t-{name}"), record(name, target.addr));
+    }
+    let gateway = RunningGateway::start(&deployment).await;
+    for _ in 0..40 {
+        get(gateway.caller_addr, "/all/q").await;
+    }
+    is_silent.store(true, Ordering::Relaxed);
+    let mut took = Vec::new();
+    for _ in 0..8 {
+        let started = Instant::now();
+        let reply = get(gateway.caller_addr, "/all/q").await;
+        assert_eq!(reply.header("t-missing"), "1");
+        took.push(started.elapsed());
+    }
+    let waited = took
+        .iter()
+        .filter(|took| **took > Duration::from_millis(200))
+        .count();
+    assert!(
+        waited <= 4,
+        "{waited} of 8 queries waited for a silent shard: {took:?}"
+    );
+}
--- a/crates/limpet-gateway/tests/support/fleet.rs
+++ b/crates/limpet-gateway/tests/support/fleet.rs
@@ -264,6 +264,7 @@
     pub(crate) caller_addr: SocketAddr,
     pub(crate) ready_addr: SocketAddr,
     pub(crate) admin_addr: SocketAddr,
+    pub(crate) peer_addr: SocketAddr,
     /// Cuts the gateway off from its source.
     pub(crate) is_source_down: Arc<Mutex<bool>>,
     stop: Option<oneshot::Sender<()>>,
@@ -286,12 +287,20 @@
 
     /// Starts a gateway with settings of the test.
     pub(crate) async fn start_with(settings: Settings, deployment: &Deployment) -> Self {
+        Self::start_cut_off(settings, deployment, Arc::default()).await
+    }
+
+    /// Starts a gateway that may be cut off from its source from the start.
+    pub(crate) async fn start_cut_off(
+        settings: Settings,
+        deployment: &Deployment,
+        is_source_down: Arc<Mutex<bool>>,
+    ) -> Self {
         let (stop, stopped) = oneshot::channel();
         let (_seeds, new_seeds) = watch::channel(Vec::new());
-        let is_source_down = Arc::new(Mutex::new(false));
         let source = deployment.source(&is_source_down);
         let (caller_addr, ready_addr) = (settings.caller_addr, settings.ready_addr);
-        let admin_addr = settings.admin_addr;
+        let (admin_addr, peer_addr) = (settings.admin_addr, settings.peer_addr);
         let running = tokio::spawn(async move {
             let shutdown = async {
                 let _ = stopped.await;
@@ -303,6 +312,7 @@
             caller_addr,
             ready_addr,
             admin_addr,
+            peer_addr,
             is_source_down,
             stop: Some(stop),
             running,
