--- a/crates/limpet-gateway/src/board.rs
+++ b/crates/limpet-gateway/src/board.rs
@@ -6,6 +6,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
             AtomicBool,
+            AtomicUsize,
             Ordering, //
         },
     },
@@ -41,6 +42,7 @@
     /// Routes, keys and teams in force; `None` before the first text.
     pub table: ArcSwapOption<RouteTable>,
     is_draining: AtomicBool,
+    caller_connections: AtomicUsize,
     revision: watch::Sender<u64>,
     state: Mutex<DeploymentState>,
     fleet: Mutex<Fleet>,
@@ -68,6 +70,7 @@
             clock: Clock::new(),
             table: ArcSwapOption::empty(),
             is_draining: AtomicBool::new(false),
+            caller_connections: AtomicUsize::new(0),
             revision: watch::Sender::new(0),
             state: Mutex::new(state),
             fleet: Mutex::new(Fleet::new()),
@@ -191,6 +194,26 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
+    /// Notes an open connection of a caller.
+    pub fn note_caller_opened(&self) {
+        self.caller_connections.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes a closed connection of a caller.
+    pub fn note_caller_closed(&self) {
+        self.caller_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of open connections of callers.
+    pub fn caller_connections(&self) -> usize {
+        self.caller_connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether callers are asked to close their connections after an answer.
+    pub fn closes_callers(&self) -> bool {
+        self.is_draining() || self.caller_connections() > self.settings.caller_connections_max
+    }
+
     /// Returns whether the process can serve.
     pub fn is_ready(&self) -> bool {
         !self.is_draining() && self.table.load().is_some() && self.state().has_targets()
--- a/crates/limpet-gateway/src/front/respond.rs
+++ b/crates/limpet-gateway/src/front/respond.rs
@@ -27,7 +27,8 @@
     target::TargetReply, //
 };
 
-/// Builds the response to a caller; a process that stops asks the caller to close the connection.
+/// Builds the response to a caller; a process that stops, or has too many
+/// connections, closes the connection after it.
 pub(super) fn respond(
     board: &Board,
     request_id: Option<HeaderValue>,
@@ -46,7 +47,7 @@
     if let Some(id) = request_id {
         headers.insert(&board.dialect.request_id, id);
     }
-    if board.is_draining() {
+    if board.closes_callers() {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/limpet-gateway/src/front/server.rs
+++ b/crates/limpet-gateway/src/front/server.rs
@@ -86,13 +86,34 @@
     })
 }
 
+/// Counts one connection until it is dropped.
+struct OpenCaller(Arc<Board>);
+
+impl OpenCaller {
+    fn new(board: &Arc<Board>) -> Self {
+        board.note_caller_opened();
+        Self(Arc::clone(board))
+    }
+}
+
+impl Drop for OpenCaller {
+    fn drop(&mut self) {
+        self.0.note_caller_closed();
+    }
+}
+
 async fn accept(listener: TcpListener, board: Arc<Board>, mut stage: watch::Receiver<Stage>) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn(serve_connection(stream, Arc::clone(&board), stage.clone()));
+                    let open = OpenCaller::new(&board);
+                    let serving = serve_connection(stream, Arc::clone(&board), stage.clone());
+                    connections.spawn(async move {
+                        let _open = open;
+                        serving.await;
+                    });
                 }
                 Err(error) => {
                     tracing::warn!(%error, "caller connection not accepted");
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -172,6 +172,7 @@
         let (targets, connections) = board.fleet().totals();
         metrics::gauge!("limpet_targets").set(targets as f64);
         metrics::gauge!("limpet_target_connections").set(connections as f64);
+        metrics::gauge!("limpet_caller_connections").set(board.caller_connections() as f64);
         metrics::gauge!("limpet_processes").set(board.ledger().presence().processes as f64);
         let age = board.state().age(now);
         metrics::gauge!("limpet_state_age_seconds").set(age.map_or(-1.0, |a| a.as_secs_f64()));
--- a/crates/limpet-gateway/src/query/crash.rs
+++ b/crates/limpet-gateway/src/query/crash.rs
@@ -5,7 +5,7 @@
     time::Duration, //
 };
 
-use limpet_decide::quarantine::crash_id;
+use limpet_types::hash::stable_hash_parts;
 use tokio::time::{
     Instant,
     sleep, //
@@ -43,7 +43,9 @@
         }
         let now = board.now();
         target.pool().clear();
-        let crash = crash_id(target.addr, None, now);
+        // One request that takes down a target of each shard, or that is in flight while many targets go
+        // down at once, is struck once; only when it comes again it is suspected twice.
+        let crash = stable_hash_parts(&[request_id.as_bytes()]);
         board.strikes().record_crash(crash, &[fingerprint], now);
         tracing::warn!(
             %request_id, target_id = %target.id, fingerprint, crash, "target crashed under a request"
--- a/crates/limpet-gateway/src/settings.rs
+++ b/crates/limpet-gateway/src/settings.rs
@@ -35,6 +35,8 @@
     pub roster: RosterLimits,
     /// Time for which a target whose record lapsed in an outage of the source stays in use.
     pub lapse_grace: Duration,
+    /// Open connections of callers beyond which each is closed after its next answer.
+    pub caller_connections_max: usize,
     /// Time between the request to stop and the forced end.
     pub stop_limit: Duration,
 }
--- a/crates/limpet-gateway/src/table.rs
+++ b/crates/limpet-gateway/src/table.rs
@@ -36,7 +36,10 @@
     pub fn new(text: Arc<Text>) -> Self {
         let mut by_host: HashMap<Box<str>, Vec<usize>> = HashMap::new();
         for (index, route) in text.routes.iter().enumerate() {
-            by_host.entry(route.host.clone()).or_default().push(index);
+            by_host
+                .entry(host_name(&route.host).into())
+                .or_default()
+                .push(index);
         }
         for indexes in by_host.values_mut() {
             indexes.sort_by_key(|index| std::cmp::Reverse(text.routes[*index].prefix.len()));
@@ -63,8 +66,10 @@
     }
 
     /// Returns the route of a request: of its host, the one with the longest matching prefix.
+    ///
+    /// A port in the host and its case do not matter.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let indexes = self.by_host.get(host)?;
+        let indexes = self.by_host.get(&*host_name(host))?;
         let routes = indexes.iter().map(|index| &self.text.routes[*index]);
         routes.into_iter().find(|r| path.starts_with(&*r.prefix))
     }
@@ -97,3 +102,12 @@
         Some(&self.text.services[*index])
     }
 }
+
+/// Returns a host in lower case without its port.
+fn host_name(host: &str) -> String {
+    let name = host.rsplit_once(':').map_or(host, |(name, port)| {
+        let is_port = port.bytes().all(|byte| byte.is_ascii_digit());
+        if is_port { name } else { host }
+    });
+    name.to_ascii_lowercase()
+}
--- a/crates/limpet-gateway/src/target/cold_gate.rs
+++ b/crates/limpet-gateway/src/target/cold_gate.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+use rand::Rng;
+
+/// Part of the rate that a cold target states which is used: processes whose turns fall into the same
+/// second must not pass the rate together.
+const USED_PART: f64 = 0.6;
+
 /// Limits the requests to a target while it is cold.
 #[derive(Clone, Debug, Default)]
 pub struct ColdGate {
@@ -13,6 +19,11 @@
 impl ColdGate {
     /// Notes for how long the target stays cold from now on.
     pub fn set_cold(&mut self, left: Duration, now: Duration) {
+        // Processes start at different points of their turns, so that these do not coincide.
+        if !self.is_cold(now) {
+            self.tokens = rand::rng().random_range(0.0..1.0);
+            self.filled_at = now;
+        }
         self.cold_until = now + left;
     }
 
@@ -29,7 +40,7 @@
         }
         let elapsed_s = now.saturating_sub(self.filled_at).as_secs_f64();
         self.filled_at = now;
-        self.tokens = (self.tokens + elapsed_s * rate_per_s).min(1.0);
+        self.tokens = (self.tokens + elapsed_s * rate_per_s * USED_PART).min(1.0);
         self.tokens >= 1.0
     }
 
--- a/crates/limpet-gateway/tests/support/fleet.rs
+++ b/crates/limpet-gateway/tests/support/fleet.rs
@@ -255,6 +255,7 @@
             seeds_max: 3,
         },
         lapse_grace: Duration::from_secs(2),
+        caller_connections_max: 100,
         stop_limit: Duration::from_secs(2),
     }
 }
--- a/crates/limpet-gateway/tests/support/target.rs
+++ b/crates/limpet-gateway/tests/support/target.rs
@@ -19,7 +19,11 @@
         TcpListener,
         TcpStream, //
     },
-    task::JoinHandle,
+    sync::Notify,
+    task::{
+        JoinHandle,
+        JoinSet, //
+    },
     time::sleep,
 };
 
@@ -32,6 +36,8 @@
     Shed,
     /// Runs the request and closes the connection.
     Close,
+    /// Ends the target: its connections close and it no longer listens.
+    Crash,
     /// Runs the request and says nothing.
     Silent,
     /// Answers with the id of another request.
@@ -79,8 +85,17 @@
         let choose: Choose = Arc::new(choose);
         let seen = Arc::clone(&arrivals);
         let accepting = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&choose), Arc::clone(&seen)));
+            let crash = Arc::new(Notify::new());
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let (stream, _) = accepted.unwrap();
+                        let (choose, seen) = (Arc::clone(&choose), Arc::clone(&seen));
+                        connections.spawn(serve(stream, choose, seen, Arc::clone(&crash)));
+                    }
+                    () = crash.notified() => return,
+                }
             }
         });
         Self {
@@ -101,7 +116,12 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, choose: Choose, seen: Arc<Mutex<Vec<Arrival>>>) {
+async fn serve(
+    mut stream: TcpStream,
+    choose: Choose,
+    seen: Arc<Mutex<Vec<Arrival>>>,
+    crash: Arc<Notify>,
+) {
     let mut buffer = Vec::new();
     while let Some(arrival) = read_request(&mut stream, &mut buffer).await {
         let id = arrival
@@ -131,6 +151,11 @@
                 return;
             }
             Behaviour::Close => return,
+            Behaviour::Crash => {
+                crash.notify_one();
+                sleep(Duration::from_secs(30)).await;
+                return;
+            }
             Behaviour::Silent => {
                 sleep(Duration::from_secs(30)).await;
                 return;
--- /dev/null
+++ b/crates/limpet-gateway/tests/table.rs
@@ -0,0 +1,70 @@
+//! Which route and team a request belongs to.
+
+mod support;
+
+use std::sync::Arc;
+
+use limpet_gateway::table::{
+    KeyError,
+    RouteTable, //
+};
+use limpet_types::deployment::Repeat;
+use support::{
+    route,
+    text, //
+};
+
+fn table() -> RouteTable {
+    let mut open = route("/a/open/", Repeat::Allowed, "s");
+    open.is_open = true;
+    let mut other = route("/a/", Repeat::Allowed, "s");
+    other.name = "other".into();
+    other.host = "Other.example".into();
+    let routes = vec![
+        route("/a/", Repeat::Allowed, "s"),
+        route("/a/b/", Repeat::Allowed, "s"),
+        open,
+        other,
+    ];
+    RouteTable::new(Arc::new(text(1, routes, &["s"])))
+}
+
+fn finds((host, path, expected): (&str, &str, Option<&str>)) {
+    let table = table();
+    assert_eq!(table.route(host, path).map(|route| &*route.name), expected);
+}
+
+// Guards against requests that reach the service of another route.
+limpet_testkit::cases! {
+    finds:
+    prefix => ("shop.example", "/a/x", Some("/a/")),
+    longest_prefix => ("shop.example", "/a/b/x", Some("/a/b/")),
+    prefix_itself => ("shop.example", "/a/b/", Some("/a/b/")),
+    no_part_of_a_name => ("shop.example", "/a/bc", Some("/a/")),
+    no_route => ("shop.example", "/c/", None),
+    unknown_host => ("mall.example", "/a/x", None),
+    host_with_port => ("shop.example:8080", "/a/x", Some("/a/")),
+    host_in_another_case => ("other.EXAMPLE", "/a/x", Some("other")),
+}
+
+#[test]
+fn open_route_needs_no_key() {
+    let table = table();
+    let open = table.route("shop.example", "/a/open/x").unwrap();
+    assert!(table.team(open, Some("any")).unwrap().is_none());
+}
+
+#[test]
+fn key_tells_the_team() {
+    let table = table();
+    let route = table.route("shop.example", "/a/x").unwrap();
+    assert_eq!(
+        &*table.team(route, Some("key-a")).unwrap().unwrap().name,
+        "team-a"
+    );
+    assert_eq!(
+        table.team(route, Some("key-b")).unwrap_err(),
+        KeyError::Unknown
+    );
+    assert_eq!(table.team(route, None).unwrap_err(), KeyError::Missing);
+}
