Log why a service gave no reply and which shards are left out

Change: one line for each service without a reply with the targets tried and the time left, one for each answer without all parts with the shards and the version of the text, one for each refusal over the rate with the processes known. Conclusion: the three kinds of refusals in OPERATIONS.md can be traced from their request id.

--- a/crates/limpet-gateway/src/front/handler.rs
+++ b/crates/limpet-gateway/src/front/handler.rs
@@ -197,9 +197,17 @@
         return Err(Refusal::not_run(RefusalReason::Quarantined));
     }
     if let Some(team) = &team {
-        let admitted = board.ledger().admit(team, board.now());
+        let (admitted, presence) = {
+            let mut ledger = board.ledger();
+            (ledger.admit(team, board.now()), ledger.presence())
+        };
         admitted.map_err(|after| {
-            Refusal::not_run(RefusalReason::OverRate).with_retry_after(after) //
+            tracing::info!(
+                request_id = request.request_id.to_str().unwrap_or("?"), %team,
+                retry_after_ms = after.as_millis(), processes = presence.processes,
+                silent = presence.silent, "no token of the team's rate"
+            );
+            Refusal::not_run(RefusalReason::OverRate).with_retry_after(after)
         })?;
     }
     Ok(QueryContext {
--- a/crates/limpet-gateway/src/query/gather.rs
+++ b/crates/limpet-gateway/src/query/gather.rs
@@ -31,7 +31,9 @@
 /// included; the longest that the users state is 3 ms one way.
 const CALLER_WAY: Duration = Duration::from_millis(14);
 
-struct Parts {
+struct Parts<'a> {
+    /// Shards whose part is there.
+    shards: Vec<&'a str>,
     signatures: Vec<HeaderValue>,
     bodies: Vec<bytes::Bytes>,
     failed: usize,
@@ -44,14 +46,13 @@
     let needed = (gather.coverage_min * total as f64 - 1e-9).ceil().max(1.0) as usize;
     let mut running = FuturesUnordered::new();
     let skipped = unsound_shards(&query, gather, needed);
-    for shard in gather
-        .shards
-        .iter()
-        .filter(|shard| !skipped.contains(shard))
-    {
-        running.push(Repeater::new(Arc::clone(&query), shard).run());
+    let shards = gather.shards.iter().map(|shard| &**shard);
+    for shard in shards.filter(|shard| !skipped.contains(shard)) {
+        let repeater = Repeater::new(Arc::clone(&query), shard);
+        running.push(async move { (shard, repeater.run().await) });
     }
     let mut parts = Parts {
+        shards: Vec::with_capacity(total),
         signatures: Vec::with_capacity(total),
         bodies: Vec::with_capacity(total),
         failed: skipped.len(),
@@ -69,7 +70,7 @@
         }
         tokio::select! {
             part = running.next() => match part {
-                Some(part) => parts.add(&query, part),
+                Some((shard, part)) => parts.add(&query, shard, part),
                 None => break,
             },
             () = sleep_until(partial_at), if !is_late => is_late = true,
@@ -77,6 +78,19 @@
         }
     }
     let arrived = parts.bodies.len();
+    if arrived < total {
+        let left_out = parts.left_out(gather);
+        tracing::info!(
+            request_id = query.request_id(),
+            ?left_out,
+            skipped = skipped.len(),
+            needed,
+            total,
+            is_late,
+            version = query.table.text().version,
+            "shards left out"
+        );
+    }
     if arrived < needed {
         parts.is_maybe_run |= !running.is_empty();
         return Err(parts.refusal(&query));
@@ -97,16 +111,13 @@
 
 /// Returns the shards that are left out because none of their targets answers, as long as the others
 /// cover enough. Once the targets may be tried again, their shard is asked again.
-fn unsound_shards<'a>(
-    query: &QueryContext,
-    gather: &'a Gather,
-    needed: usize,
-) -> Vec<&'a Box<str>> {
+fn unsound_shards<'a>(query: &QueryContext, gather: &'a Gather, needed: usize) -> Vec<&'a str> {
     let now = query.board.now();
     let fleet = query.board.fleet();
-    let unsound: Vec<&Box<str>> = gather
+    let unsound: Vec<&str> = gather
         .shards
         .iter()
+        .map(|shard| &**shard)
         .filter(|shard| !fleet.has_sound(shard, now))
         .collect();
     if gather.shards.len() - unsound.len() < needed {
@@ -123,11 +134,12 @@
     query.arrived + by_part.min(by_way).max(goal / 2)
 }
 
-impl Parts {
-    fn add(&mut self, query: &QueryContext, part: Result<TargetReply, Failure>) {
+impl<'a> Parts<'a> {
+    fn add(&mut self, query: &QueryContext, shard: &'a str, part: Result<TargetReply, Failure>) {
         match part {
             Ok(reply) => match reply.success_signature(&query.board.dialect.signature) {
                 Some(signature) => {
+                    self.shards.push(shard);
                     self.signatures.push(signature.clone());
                     self.bodies.push(reply.body);
                 }
@@ -143,6 +155,14 @@
         }
     }
 
+    /// Returns the shards without a part.
+    fn left_out(&self, gather: &'a Gather) -> Vec<&'a str> {
+        let shards = gather.shards.iter().map(|shard| &**shard);
+        shards
+            .filter(|shard| !self.shards.contains(shard))
+            .collect()
+    }
+
     /// A request did not run only if no shard ran it or may still do so.
     fn refusal(&self, query: &QueryContext) -> Refusal {
         if query.left().is_zero() {
--- a/crates/limpet-gateway/src/query/repeat.rs
+++ b/crates/limpet-gateway/src/query/repeat.rs
@@ -49,6 +49,12 @@
     pub(super) is_not_run: bool,
 }
 
+/// The deadline passed; a target may still run the request.
+const TIMED_OUT: Failure = Failure {
+    reason: RefusalReason::TimedOut,
+    is_not_run: false,
+};
+
 type Running =
     Pin<Box<dyn Future<Output = (Arc<Target>, Result<TargetReply, AttemptError>)> + Send>>;
 
@@ -82,9 +88,20 @@
     ///
     /// A failed reply of a target counts as a success if no repeat is possible.
     pub(super) async fn run(mut self) -> Result<TargetReply, Failure> {
-        if let Err(failure) = self.start_first().await {
-            return Err(failure);
+        let result = self.run_attempts().await;
+        if let Err(failure) = &result {
+            tracing::info!(
+                request_id = self.query.request_id(), service = %self.service,
+                reason = failure.reason.label(), not_run = failure.is_not_run,
+                tried = ?self.tried, left_ms = self.query.left().as_millis(),
+                "service gave no reply"
+            );
         }
+        result
+    }
+
+    async fn run_attempts(&mut self) -> Result<TargetReply, Failure> {
+        self.start_first().await?;
         let mut hedge_at = self.hedge_at();
         loop {
             let next = tokio::select! {
@@ -94,7 +111,7 @@
                     self.hedge();
                     continue;
                 }
-                () = sleep_until(self.query.deadline) => return Err(self.timed_out()),
+                () = sleep_until(self.query.deadline) => return Err(TIMED_OUT),
             };
             let Some((_, result)) = next else {
                 return self.finish();
@@ -234,15 +251,8 @@
         }));
     }
 
-    fn timed_out(&self) -> Failure {
-        Failure {
-            reason: RefusalReason::TimedOut,
-            is_not_run: false,
-        }
-    }
-
-    fn finish(self) -> Result<TargetReply, Failure> {
-        match self.last_failed_reply {
+    fn finish(&mut self) -> Result<TargetReply, Failure> {
+        match self.last_failed_reply.take() {
             Some(reply) => Ok(reply),
             None if self.is_maybe_run => Err(Failure {
                 reason: RefusalReason::Broken,
