Report changed sums in turn and try later readers before the store

Cause: with 66 others, each round of reports went to 16 random ones, so that at any time about a quarter of the machines counted as silent and every rate shrank by that part; each report named every team and 24 machines. When the store turned the reader away, every machine read the store itself. Change: reports go round in turn, silence is four intervals at least, reports hold what changed (and everything each eighth time); three readers are tried before the store. Ruled out: a lower period, which costs more zone traffic.

--- a/crates/limpet-gateway/src/follow.rs
+++ b/crates/limpet-gateway/src/follow.rs
@@ -33,6 +33,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Longest time for which a process holds back a follower without changes.
 const FOLLOW_WAIT: Duration = Duration::from_millis(800);
+/// Processes that are tried before one reads the source itself.
+const READERS_MAX: usize = 3;
 /// Added to a wait before the other side counts as silent.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Age beyond which a process no longer counts as a reader: a watch that returned in time has at
@@ -77,12 +79,7 @@
     /// Runs until it is dropped.
     pub async fn run(mut self) {
         loop {
-            let reader = self.reader();
-            let is_followed = match reader {
-                Some(reader) => self.follow(reader, FOLLOW_WAIT).await,
-                None => false,
-            };
-            if is_followed || self.read_source().await {
+            if self.follow_reader().await || self.read_source().await {
                 continue;
             }
             // The source does not answer this process; another one may know more.
@@ -94,12 +91,22 @@
         }
     }
 
-    /// Returns the process to follow, `None` if this one reads the source.
-    fn reader(&self) -> Option<SocketAddr> {
-        let now = self.board.now();
-        let live = self.board.roster().live_addrs(now);
-        let first = *live.first()?;
-        (first != self.board.settings.peer_addr).then_some(first)
+    /// Follows the first process that is current; false if this one is to read the source.
+    ///
+    /// Every process tries the same ones in the same order, so that few read the source even if it
+    /// turns the first of them away.
+    async fn follow_reader(&mut self) -> bool {
+        let own = self.board.settings.peer_addr;
+        let live = self.board.roster().live_addrs(self.board.now());
+        for reader in live.into_iter().take(READERS_MAX) {
+            if reader == own {
+                return false;
+            }
+            if self.follow(reader, FOLLOW_WAIT).await {
+                return true;
+            }
+        }
+        false
     }
 
     fn any_peer(&self) -> Option<SocketAddr> {
--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -2,8 +2,14 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
-    time::Duration, //
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    time::Duration,
 };
 
 use limpet_types::codec;
@@ -18,16 +24,21 @@
 
 use super::{
     NodeId,
+    REPORT_FANOUT,
+    REPORT_PERIOD,
     Report, //
 };
-use crate::board::Board;
+use crate::{
+    board::Board,
+    rate::Sums, //
+};
 
-/// Time between two reports.
-const REPORT_PERIOD: Duration = Duration::from_millis(150);
-/// Processes that get a report at a time; with more, each gets one in turn.
-const REPORT_FANOUT: usize = 16;
 /// Addresses of other processes in a report.
-const KNOWN_MAX: usize = 24;
+const KNOWN_MAX: usize = 6;
+/// Rounds between two reports of every sum; the others hold those that changed.
+const COMPLETE_ROUNDS: u64 = 8;
+/// First rounds, which hold every sum.
+const FIRST_ROUNDS: u64 = 16;
 /// Suspected requests in a report.
 const STRIKES_MAX: usize = 8;
 /// Largest datagram.
@@ -52,6 +63,7 @@
     board: Arc<Board>,
     socket: UdpSocket,
     node: NodeId,
+    rounds: AtomicU64,
 }
 
 impl Gossip {
@@ -68,6 +80,7 @@
             board,
             socket,
             node: rand::random(),
+            rounds: AtomicU64::new(0),
         })
     }
 
@@ -99,33 +112,46 @@
     async fn send(&self, is_leaving: bool) {
         let board = &self.board;
         let now = board.now();
+        let round = self.rounds.fetch_add(1, Ordering::Relaxed);
         let mut addrs = board.roster().addrs();
-        addrs.shuffle(&mut rand::rng());
-        if !is_leaving {
+        if !is_leaving && addrs.len() > REPORT_FANOUT {
+            let start = round as usize * REPORT_FANOUT % addrs.len();
+            addrs.rotate_left(start);
             addrs.truncate(REPORT_FANOUT);
         }
         let mut known = board.roster().live_addrs(now);
         known.shuffle(&mut rand::rng());
         known.truncate(KNOWN_MAX);
-        let mut report = Report {
+        let interval = board.roster().report_interval();
+        let turns = interval.as_millis() / REPORT_PERIOD.as_millis();
+        let is_complete = is_leaving
+            || round < FIRST_ROUNDS
+            || (round / turns as u64).is_multiple_of(COMPLETE_ROUNDS);
+        // Two intervals, so that a change is told twice.
+        let since = match is_complete {
+            true => Duration::ZERO,
+            false => now.saturating_sub(interval * 2),
+        };
+        let report = Report {
             node: self.node,
             addr: board.settings.peer_addr,
             is_leaving,
-            hears_receiver: false,
-            counts: board.ledger().counts(),
+            sums: Sums {
+                is_complete,
+                counts: board.ledger().counts_since(since),
+            },
             known,
             strikes: board.strikes().export(STRIKES_MAX, now),
             revision: board.state().revision(),
         };
+        let bytes = match codec::encode(&report) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(%error, "report cannot be encoded");
+                return;
+            }
+        };
         for addr in addrs {
-            report.hears_receiver = board.roster().is_heard(addr, now);
-            let bytes = match codec::encode(&report) {
-                Ok(bytes) => bytes,
-                Err(error) => {
-                    tracing::error!(%error, "report cannot be encoded");
-                    return;
-                }
-            };
             if let Err(error) = self.socket.send_to(&bytes, addr).await {
                 tracing::debug!(%addr, %error, "report not sent");
             }
@@ -149,7 +175,7 @@
                 tracing::info!(addr = %report.addr, node, "process left");
                 board
                     .ledger()
-                    .report(node, &report.counts, Duration::ZERO, now);
+                    .report(node, &report.sums, Duration::ZERO, now);
                 board.ledger().forget(node);
             }
             self.update_presence(now);
@@ -173,7 +199,7 @@
         self.update_presence(now);
         board
             .ledger()
-            .report(report.node, &report.counts, heard.silence, now);
+            .report(report.node, &report.sums, heard.silence, now);
         board.strikes().merge(&report.strikes, now);
     }
 
--- a/crates/limpet-gateway/src/members/message.rs
+++ b/crates/limpet-gateway/src/members/message.rs
@@ -8,7 +8,7 @@
     Serialize, //
 };
 
-use crate::rate::TeamCount;
+use crate::rate::Sums;
 
 /// Random number of one process incarnation.
 pub type NodeId = u64;
@@ -22,10 +22,8 @@
     pub addr: SocketAddr,
     /// Whether the sender stops and admits nothing more.
     pub is_leaving: bool,
-    /// Whether the sender has heard the receiver, so that reports pass both ways.
-    pub hears_receiver: bool,
     /// Requests that the sender admitted.
-    pub counts: Vec<TeamCount>,
+    pub sums: Sums,
     /// Other processes that the sender knows.
     pub known: Vec<SocketAddr>,
     /// Requests that crashed targets.
--- a/crates/limpet-gateway/src/members/mod.rs
+++ b/crates/limpet-gateway/src/members/mod.rs
@@ -14,6 +14,8 @@
         Report, //
     },
     roster::{
+        REPORT_FANOUT,
+        REPORT_PERIOD,
         Roster,
         RosterLimits, //
     },
--- a/crates/limpet-gateway/src/members/roster.rs
+++ b/crates/limpet-gateway/src/members/roster.rs
@@ -12,10 +12,17 @@
 use super::NodeId;
 use crate::rate::Presence;
 
+/// Processes that get a report in one period; with more, each gets one in turn.
+pub const REPORT_FANOUT: usize = 16;
+/// Time between two rounds of reports.
+pub const REPORT_PERIOD: Duration = Duration::from_millis(150);
+/// Reports that may be lost before a process counts as silent.
+const REPORTS_LOST_MAX: u32 = 4;
+
 /// Times after which a process counts as silent or gone.
 #[derive(Clone, Copy, Debug)]
 pub struct RosterLimits {
-    /// A process not heard for this time is silent.
+    /// A process not heard for this time is silent, or longer where reports are rarer.
     pub silent_after: Duration,
     /// A process not heard for this time is gone.
     pub gone_after: Duration,
@@ -71,6 +78,18 @@
         self.seeds = seeds.iter().copied().filter(|seed| *seed != own).collect();
     }
 
+    /// Returns the time between two reports of one process to another.
+    pub fn report_interval(&self) -> Duration {
+        let rounds = self.members.len().div_ceil(REPORT_FANOUT).max(1);
+        REPORT_PERIOD * rounds as u32
+    }
+
+    /// Returns the time after which a process is silent.
+    fn silent_after(&self) -> Duration {
+        let lost = self.report_interval() * REPORTS_LOST_MAX;
+        self.limits.silent_after.max(lost)
+    }
+
     /// Notes a report of a process.
     pub fn hear(&mut self, addr: SocketAddr, node: NodeId, revision: u64, now: Duration) -> Heard {
         self.candidates.remove(&addr);
@@ -85,7 +104,7 @@
         Heard {
             is_new: same.is_none(),
             replaced: before.filter(|b| b.node != node).map(|b| b.node),
-            silence: silence.saturating_sub(self.limits.silent_after),
+            silence: silence.saturating_sub(self.silent_after()),
         }
     }
 
@@ -109,7 +128,7 @@
     /// A process that hears less than half of those it once knew may itself be the one that is cut
     /// off, so it gives up nobody and keeps to its own part of every rate.
     pub fn expire(&mut self, now: Duration) -> Vec<NodeId> {
-        let gone_after = self.limits.gone_after;
+        let gone_after = self.limits.gone_after.max(self.silent_after());
         self.candidates.retain(|_, since| now < *since + gone_after);
         let heard = self.heard(now);
         if (heard + 1) * 2 < self.members.len() + 1 {
@@ -145,16 +164,11 @@
 
     /// Returns the number of other processes heard within the limit.
     pub fn heard(&self, now: Duration) -> usize {
-        let is_heard = |m: &&Member| now < m.heard_at + self.limits.silent_after;
+        let silent_after = self.silent_after();
+        let is_heard = |m: &&Member| now < m.heard_at + silent_after;
         self.members.values().filter(is_heard).count()
     }
 
-    /// Returns whether a process was heard within the limit.
-    pub fn is_heard(&self, addr: SocketAddr, now: Duration) -> bool {
-        let member = self.members.get(&addr);
-        member.is_some_and(|m| now < m.heard_at + self.limits.silent_after)
-    }
-
     /// Returns every address to report to.
     pub fn addrs(&self) -> Vec<SocketAddr> {
         let mut addrs: BTreeSet<SocketAddr> = self.members.keys().copied().collect();
@@ -167,7 +181,8 @@
 
     /// Returns the addresses of the processes heard, this one included, in a fixed order.
     pub fn live_addrs(&self, now: Duration) -> Vec<SocketAddr> {
-        let is_heard = |m: &Member| now < m.heard_at + self.limits.silent_after;
+        let silent_after = self.silent_after();
+        let is_heard = |m: &Member| now < m.heard_at + silent_after;
         let live = self.members.iter().filter(|(_, member)| is_heard(member));
         let mut addrs: Vec<SocketAddr> = live.map(|(addr, _)| *addr).collect();
         addrs.push(self.own_addr);
--- a/crates/limpet-gateway/src/rate/account.rs
+++ b/crates/limpet-gateway/src/rate/account.rs
@@ -22,6 +22,7 @@
     level: f64,
     refilled_at: Duration,
     admitted: u64,
+    admitted_at: Duration,
 }
 
 impl Account {
@@ -37,6 +38,7 @@
             },
             refilled_at: now,
             admitted: 0,
+            admitted_at: now,
         }
     }
 
@@ -62,6 +64,11 @@
         self.admitted
     }
 
+    /// Returns whether this process admitted a request since a time.
+    pub fn is_changed_since(&self, since: Duration) -> bool {
+        self.admitted > 0 && self.admitted_at >= since
+    }
+
     /// Admits one request, or tells after what time one may be admitted.
     ///
     /// # Errors
@@ -77,6 +84,7 @@
             self.level -= 1.0;
         }
         self.admitted += 1;
+        self.admitted_at = now;
         Ok(())
     }
 
--- a/crates/limpet-gateway/src/rate/ledger.rs
+++ b/crates/limpet-gateway/src/rate/ledger.rs
@@ -23,6 +23,15 @@
     pub admitted: u64,
 }
 
+/// Sums of one process in a report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sums {
+    /// Whether teams that are not named stand at zero; else they did not change lately.
+    pub is_complete: bool,
+    /// Sums by team.
+    pub counts: Vec<TeamCount>,
+}
+
 /// Who shares the rates.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Presence {
@@ -43,6 +52,8 @@
 
 #[derive(Debug, Default)]
 struct Reported {
+    /// Whether a complete report came, so that teams not named in it stood at zero.
+    has_complete: bool,
     counts: HashMap<Box<str>, u64>,
 }
 
@@ -122,10 +133,13 @@
         account.admit(share, now).map_err(|wait| wait * processes)
     }
 
-    /// Returns the sums of this process for a report.
-    pub fn counts(&self) -> Vec<TeamCount> {
-        let limited = self.accounts.iter().filter(|(_, a)| a.admitted() > 0);
-        limited
+    /// Returns the sums of this process that changed since a time.
+    pub fn counts_since(&self, since: Duration) -> Vec<TeamCount> {
+        let changed = self
+            .accounts
+            .iter()
+            .filter(|(_, a)| a.is_changed_since(since));
+        changed
             .map(|(team, account)| TeamCount {
                 team: team.clone(),
                 admitted: account.admitted(),
@@ -133,20 +147,26 @@
             .collect()
     }
 
+    /// Returns all sums of this process.
+    pub fn counts(&self) -> Vec<TeamCount> {
+        self.counts_since(Duration::ZERO)
+    }
+
     /// Takes in the sums of another process; `silence` is how long it was not heard before, for which
     /// its part of the rate was already left to it.
-    pub fn report(&mut self, node: NodeId, counts: &[TeamCount], silence: Duration, now: Duration) {
+    pub fn report(&mut self, node: NodeId, sums: &Sums, silence: Duration, now: Duration) {
         let share = self.presence.share();
         let part = 1.0 / self.presence.processes.max(1) as f64;
-        let is_new = !self.reported.contains_key(&node);
         let reported = self.reported.entry(node).or_default();
-        for count in counts {
+        let had_complete = reported.has_complete;
+        reported.has_complete |= sums.is_complete;
+        for count in &sums.counts {
             let known = reported.counts.insert(count.team.clone(), count.admitted);
             let Some(account) = self.accounts.get_mut(&count.team) else {
                 continue;
             };
-            // The sum of a process met for the first time was admitted at an unknown time.
-            let base = known.unwrap_or(if is_new { count.admitted } else { 0 });
+            // Without a complete report before, it is not known when the sum was admitted.
+            let base = known.unwrap_or(if had_complete { 0 } else { count.admitted });
             let requests = count.admitted.saturating_sub(base) as f64;
             let left_to_it = silence.as_secs_f64() * account.rate_per_s() * part;
             account.debit((requests - left_to_it).max(0.0), share, now);
--- a/crates/limpet-gateway/src/rate/mod.rs
+++ b/crates/limpet-gateway/src/rate/mod.rs
@@ -8,6 +8,7 @@
     ledger::{
         Ledger,
         Presence,
+        Sums,
         TeamCount, //
     },
 };
--- a/crates/limpet-gateway/tests/follow.rs
+++ b/crates/limpet-gateway/tests/follow.rs
@@ -14,20 +14,19 @@
 use support::{
     Behaviour,
     Deployment,
+    PEER_PORT,
     RunningGateway,
     StandInTarget,
     get,
+    own_ip,
     record,
     route,
     settings,
     text, //
 };
-use tokio::{
-    net::TcpListener,
-    time::{
-        Instant,
-        sleep, //
-    },
+use tokio::time::{
+    Instant,
+    sleep, //
 };
 
 /// The users' bound for a change to be in force.
@@ -44,16 +43,11 @@
     let deployment = Deployment::new();
     deployment.publish_text(text(1, vec![route("/one/", Repeat::Allowed, "s")], &["s"]));
     deployment.publish_target("t", record("s", target.addr));
-    let port = TcpListener::bind("127.0.0.1:0")
-        .await
-        .unwrap()
-        .local_addr()
-        .unwrap()
-        .port();
+    let ips = [own_ip(), own_ip()];
     let mut gateways = Vec::new();
-    for ip in ["127.0.0.1", "127.0.0.2"] {
-        let mut settings = settings(ip, port).await;
-        settings.seeds = vec![format!("127.0.0.1:{port}").parse().unwrap()];
+    for ip in &ips {
+        let mut settings = settings(ip, PEER_PORT).await;
+        settings.seeds = vec![format!("{}:{PEER_PORT}", ips[0]).parse().unwrap()];
         gateways.push(RunningGateway::start_with(settings, &deployment).await);
     }
     for gateway in &gateways {
@@ -121,7 +115,7 @@
     pair.gateways[1].begin_stop();
     pair.gateways.remove(1).ended().await;
     let peer = pair.gateways[0].peer_addr;
-    let mut settings = settings("127.0.0.3", peer.port()).await;
+    let mut settings = settings(&own_ip(), PEER_PORT).await;
     settings.seeds = vec![peer];
     settings.is_first_start = false;
     let is_down = Arc::new(std::sync::Mutex::new(true));
--- a/crates/limpet-gateway/tests/rate.rs
+++ b/crates/limpet-gateway/tests/rate.rs
@@ -4,7 +4,9 @@
 
 use limpet_gateway::rate::{
     Ledger,
-    Presence, //
+    Presence,
+    Sums,
+    TeamCount, //
 };
 use limpet_types::deployment::Team;
 use proptest::prelude::*;
@@ -88,7 +90,11 @@
                 for (other, counts) in counts.iter().enumerate() {
                     if index != other && hears(index, other) {
                         let node = incarnation + other as u64;
-                        ledger.report(node, counts, Duration::ZERO, now);
+                        let sums = Sums {
+                            is_complete: true,
+                            counts: counts.clone(),
+                        };
+                        ledger.report(node, &sums, Duration::ZERO, now);
                     }
                 }
             }
@@ -194,3 +200,52 @@
         .unwrap();
     assert!(ledger.admit("team", wait).is_ok());
 }
+
+fn sums(is_complete: bool, admitted: &[(&str, u64)]) -> Sums {
+    let count = |(team, admitted): &(&str, u64)| TeamCount {
+        team: (*team).into(),
+        admitted: *admitted,
+    };
+    Sums {
+        is_complete,
+        counts: admitted.iter().map(count).collect(),
+    }
+}
+
+fn left_after(reports: &[Sums]) -> usize {
+    let mut ledger = Ledger::new(true);
+    ledger.set_teams([team(RATE_PER_S)].iter(), Duration::ZERO);
+    for sums in reports {
+        ledger.report(7, sums, Duration::ZERO, Duration::ZERO);
+    }
+    (0..100)
+        .filter(|_| ledger.admit("team", Duration::ZERO).is_ok())
+        .count()
+}
+
+/// Guards against debits for what another process admitted long ago, and against none for what it
+/// admitted since; the burst is 40.
+#[test]
+fn only_what_was_admitted_since_is_taken_out() {
+    assert_eq!(left_after(&[sums(true, &[("team", 1000)])]), 40);
+    assert_eq!(
+        left_after(&[
+            sums(true, &[("team", 1000)]),
+            sums(false, &[("team", 1010)])
+        ]),
+        30
+    );
+    assert_eq!(
+        left_after(&[sums(true, &[]), sums(false, &[("team", 10)])]),
+        30
+    );
+    assert_eq!(
+        left_after(&[sums(false, &[]), sums(false, &[("team", 1000)])]),
+        40
+    );
+    let twice = sums(false, &[("team", 1010)]);
+    assert_eq!(
+        left_after(&[sums(true, &[("team", 1000)]), twice.clone(), twice]),
+        30
+    );
+}
--- a/crates/limpet-gateway/tests/roster.rs
+++ b/crates/limpet-gateway/tests/roster.rs
@@ -126,3 +126,16 @@
     assert_eq!(roster.leave(addr(1)), Some(1));
     assert_eq!(roster.presence(at(0)).processes, 2);
 }
+
+/// Guards against a large fleet in which processes count as silent between two reports.
+#[test]
+fn process_of_a_large_fleet_is_not_silent_between_reports() {
+    let mut roster = Roster::new(LIMITS, addr(0), &[]);
+    for number in 1..=66 {
+        roster.hear(addr(number), u64::from(number), 0, at(0));
+    }
+    let interval = roster.report_interval();
+    assert_eq!(interval, at(750));
+    assert_eq!(roster.presence(interval * 2).silent, 0);
+    assert_eq!(roster.presence(interval * 5).silent, 66);
+}
--- a/crates/limpet-gateway/tests/support/fleet.rs
+++ b/crates/limpet-gateway/tests/support/fleet.rs
@@ -3,8 +3,11 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
-        Mutex, //
+        Arc, Mutex,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
     },
     time::Duration,
 };
@@ -49,6 +52,8 @@
     },
 };
 
+/// Port of every gateway for the others; below those that the system hands out.
+pub(crate) const PEER_PORT: u16 = 7102;
 /// Longest time for a gateway to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(10);
 
@@ -230,6 +235,20 @@
     SourceError::new(SourceErrorKind::Unavailable, "cut off by the test")
 }
 
+/// Returns a loopback address that no other gateway of this run uses, so that nothing else takes a port
+/// between its choice and its use.
+pub(crate) fn own_ip() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id() % 30_000;
+    format!(
+        "127.{}.{}.{}",
+        100 + process / 250,
+        1 + process % 250,
+        number
+    )
+}
+
 /// Settings on free ports of a loopback address.
 pub(crate) async fn settings(ip: &str, peer_port: u16) -> Settings {
     let free = |listener: &TcpListener| listener.local_addr().unwrap();
@@ -275,13 +294,8 @@
 impl RunningGateway {
     /// Starts a gateway alone and waits until it is ready.
     pub(crate) async fn start(deployment: &Deployment) -> Self {
-        let port = TcpListener::bind("127.0.0.1:0")
-            .await
-            .unwrap()
-            .local_addr()
-            .unwrap()
-            .port();
-        let gateway = Self::start_with(settings("127.0.0.1", port).await, deployment).await;
+        let ip = own_ip();
+        let gateway = Self::start_with(settings(&ip, PEER_PORT).await, deployment).await;
         gateway.wait_ready().await;
         gateway
     }
--- a/crates/limpet-gateway/tests/support/mod.rs
+++ b/crates/limpet-gateway/tests/support/mod.rs
@@ -15,9 +15,11 @@
     },
     fleet::{
         Deployment,
+        PEER_PORT,
         RunningGateway,
         dialect,
         gather_route,
+        own_ip,
         record,
         route,
         service,
