Tell surges of a team at once and expect others after a start

Change: sums of teams whose level is low, or that surge, go to every machine in the next round; a started machine has no tokens and expects 15 others for 600 ms; it is greeted with everything at once. Repeats of stragglers go only to targets with a free slot. Ruled out: all changes to all machines, twice the datagrams for teams within their rate.

--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -33,8 +33,11 @@
     rate::Sums, //
 };
 
-/// Addresses of other processes in a report.
+/// Addresses of other processes in a report, and in the first ones.
 const KNOWN_MAX: usize = 6;
+const KNOWN_FIRST_MAX: usize = 32;
+/// Processes that get a report in each of the first rounds.
+const FIRST_FANOUT: usize = 64;
 /// Rounds between two reports of every sum; the others hold those that changed.
 const COMPLETE_ROUNDS: u64 = 8;
 /// First rounds, which hold every sum.
@@ -96,7 +99,11 @@
                     self.send(false).await;
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((size, from)) => self.receive(&buffer[..size], from),
+                    Ok((size, from)) => {
+                        if let Some(addr) = self.receive(&buffer[..size], from) {
+                            self.greet(addr).await;
+                        }
+                    }
                     // A host without a listener may report that; its silence is seen anyway.
                     Err(error) => tracing::debug!(%error, "report not received"),
                 },
@@ -109,37 +116,73 @@
         self.send(true).await;
     }
 
+    /// Sends the reports of one round: to some processes in turn, and to the others at once what teams
+    /// that use up their rates were admitted.
     async fn send(&self, is_leaving: bool) {
         let board = &self.board;
         let now = board.now();
         let round = self.rounds.fetch_add(1, Ordering::Relaxed);
         let mut addrs = board.roster().addrs();
-        if !is_leaving && addrs.len() > REPORT_FANOUT {
-            let start = round as usize * REPORT_FANOUT % addrs.len();
+        let mut others = Vec::new();
+        let fanout = match round < FIRST_ROUNDS {
+            true => FIRST_FANOUT,
+            false => REPORT_FANOUT,
+        };
+        if !is_leaving && addrs.len() > fanout {
+            let start = round as usize * fanout % addrs.len();
             addrs.rotate_left(start);
-            addrs.truncate(REPORT_FANOUT);
+            others = addrs.split_off(fanout);
         }
-        let mut known = board.roster().live_addrs(now);
-        known.shuffle(&mut rand::rng());
-        known.truncate(KNOWN_MAX);
         let interval = board.roster().report_interval();
-        let turns = interval.as_millis() / REPORT_PERIOD.as_millis();
-        let is_complete = is_leaving
-            || round < FIRST_ROUNDS
-            || (round / turns as u64).is_multiple_of(COMPLETE_ROUNDS);
+        let turn = round / (interval.as_millis() / REPORT_PERIOD.as_millis()) as u64;
+        let is_complete =
+            is_leaving || round < FIRST_ROUNDS || turn.is_multiple_of(COMPLETE_ROUNDS);
         // Two intervals, so that a change is told twice.
         let since = match is_complete {
             true => Duration::ZERO,
             false => now.saturating_sub(interval * 2),
         };
+        let counts = board.ledger().counts_since(since);
+        let sums = Sums {
+            is_complete,
+            counts,
+        };
+        self.send_report(sums, is_leaving, &addrs).await;
+        let pressed = board
+            .ledger()
+            .pressed_counts_since(now.saturating_sub(REPORT_PERIOD * 2));
+        if !pressed.is_empty() {
+            let sums = Sums {
+                is_complete: false,
+                counts: pressed,
+            };
+            self.send_report(sums, false, &others).await;
+        }
+    }
+
+    /// Tells a process that was just met everything at once.
+    async fn greet(&self, addr: SocketAddr) {
+        let sums = Sums {
+            is_complete: true,
+            counts: self.board.ledger().counts(),
+        };
+        self.send_report(sums, false, &[addr]).await;
+    }
+
+    async fn send_report(&self, sums: Sums, is_leaving: bool, addrs: &[SocketAddr]) {
+        let board = &self.board;
+        let now = board.now();
+        let mut known = board.roster().live_addrs(now);
+        known.shuffle(&mut rand::rng());
+        known.truncate(match sums.is_complete {
+            true => KNOWN_FIRST_MAX,
+            false => KNOWN_MAX,
+        });
         let report = Report {
             node: self.node,
             addr: board.settings.peer_addr,
             is_leaving,
-            sums: Sums {
-                is_complete,
-                counts: board.ledger().counts_since(since),
-            },
+            sums,
             known,
             strikes: board.strikes().export(STRIKES_MAX, now),
             revision: board.state().revision(),
@@ -159,12 +202,13 @@
         }
     }
 
-    fn receive(&self, bytes: &[u8], from: SocketAddr) {
+    /// Takes in a report; returns the address of a process that is met by it.
+    fn receive(&self, bytes: &[u8], from: SocketAddr) -> Option<SocketAddr> {
         let report: Report = match codec::decode(bytes) {
             Ok(report) => report,
             Err(error) => {
                 tracing::warn!(%from, %error, "report cannot be read");
-                return;
+                return None;
             }
         };
         let board = &self.board;
@@ -179,7 +223,7 @@
                 board.ledger().forget(node);
             }
             self.update_presence(now);
-            return;
+            return None;
         }
         let heard = {
             let mut roster = board.roster();
@@ -201,6 +245,7 @@
             .ledger()
             .report(report.node, &report.sums, heard.silence, now);
         board.strikes().merge(&report.strikes, now);
+        heard.is_new.then_some(report.addr)
     }
 
     fn expire(&self) {
--- a/crates/limpet-gateway/src/members/roster.rs
+++ b/crates/limpet-gateway/src/members/roster.rs
@@ -19,6 +19,9 @@
 /// Reports that may be lost before a process counts as silent.
 const REPORTS_LOST_MAX: u32 = 4;
 
+/// Processes that one which was started later expects until it has had time to meet them.
+const EXPECTED_PROCESSES: usize = 16;
+
 /// Times after which a process counts as silent or gone.
 #[derive(Clone, Copy, Debug)]
 pub struct RosterLimits {
@@ -26,6 +29,8 @@
     pub silent_after: Duration,
     /// A process not heard for this time is gone.
     pub gone_after: Duration,
+    /// Time that a started process takes to meet the others; zero if the whole system starts.
+    pub meet_time: Duration,
     /// Addresses to ask first; they may be stale.
     pub seeds_max: usize,
 }
@@ -145,20 +150,22 @@
         gone
     }
 
-    /// Returns who shares the rates.
+    /// Returns who shares the rates, `now` being the time since the start of this process.
     ///
-    /// A process that was started later and has heard nobody although others should be there
-    /// counts the seeds as silent processes.
+    /// A process that was started later expects more of them than it has met for a while; one that met
+    /// nobody counts the seeds as silent processes.
     pub fn presence(&self, now: Duration) -> Presence {
-        if self.members.is_empty() {
-            return Presence {
-                processes: self.seeds.len() + 1,
-                silent: self.seeds.len(),
-            };
-        }
+        let met = match self.members.is_empty() {
+            true => self.seeds.len() + 1,
+            false => self.members.len() + 1,
+        };
+        let processes = match now < self.limits.meet_time {
+            true => met.max(EXPECTED_PROCESSES),
+            false => met,
+        };
         Presence {
-            processes: self.members.len() + 1,
-            silent: self.members.len() - self.heard(now),
+            processes,
+            silent: processes - 1 - self.heard(now),
         }
     }
 
--- a/crates/limpet-gateway/src/query/repeat.rs
+++ b/crates/limpet-gateway/src/query/repeat.rs
@@ -40,6 +40,9 @@
 /// Time for which an attempt that lost goes on, because its connection can be used again after it.
 const LINGER: Duration = Duration::from_millis(150);
 
+/// Cause of a repeat while the first attempt still runs.
+const STRAGGLER: &str = "straggler";
+
 /// Why a service gave no reply.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Failure {
@@ -146,7 +149,7 @@
     /// Starts the first attempt as soon as a target has room.
     async fn start_first(&mut self) -> Result<(), Failure> {
         loop {
-            if self.start() {
+            if self.start(false) {
                 return Ok(());
             }
             let is_there = self.query.board.fleet().has_any(&self.service);
@@ -161,7 +164,7 @@
     }
 
     /// Starts an attempt at a target that was not tried; false if there is none with room.
-    fn start(&mut self) -> bool {
+    fn start(&mut self, needs_free_slot: bool) -> bool {
         let query = Arc::clone(&self.query);
         let board = &query.board;
         let service = query.table.service(&self.service);
@@ -172,6 +175,7 @@
             tried: &self.tried,
             connections_max: service.map_or(1, |s| s.connections_max),
             cold_rate_per_s: service.map_or(0.0, |s| s.cold_rate_per_s),
+            needs_free_slot,
             processes,
         };
         let limit = wanted.connections_limit();
@@ -214,7 +218,8 @@
         {
             target.view().note_straggler(waited, mean, now);
         }
-        self.repeat("straggler");
+        // Under load a second run of the same request would only make the queues longer.
+        self.repeat(STRAGGLER);
     }
 
     fn repeat_after(&mut self, cause: &'static str) {
@@ -232,7 +237,7 @@
             metrics::counter!("limpet_repeats_refused_total", "cause" => cause).increment(1);
             return;
         }
-        let is_sent = self.start();
+        let is_sent = self.start(cause == STRAGGLER);
         metrics::counter!("limpet_repeats_total", "cause" => cause).increment(1);
         tracing::info!(
             request_id = self.query.request_id(), service = %self.service, cause, is_sent,
--- a/crates/limpet-gateway/src/rate/account.rs
+++ b/crates/limpet-gateway/src/rate/account.rs
@@ -8,10 +8,12 @@
 /// much is paid back before anything else is admitted, but not without bound.
 const OVERDRAFT_MAX_S: f64 = 1.0;
 
-/// Part of the burst that a process which knows nothing of the past starts with.
-///
-/// Others may have spent the burst a moment ago, and the fleet may have started as a whole.
-const FIRST_LEVEL: f64 = 0.2;
+/// Part of the burst below which other processes are told at once what is admitted: a team that stays
+/// within its rate keeps the level above it.
+const PRESSED_LEVEL: f64 = 0.8;
+
+/// Time within which two requests of a team at one of many processes show a surge; two rounds of reports.
+const PRESSED_SPAN: Duration = Duration::from_millis(300);
 
 /// Token bucket of one team. Every process holds the whole bucket and takes from it what the others
 /// report; while some are silent it refills only by the part that is certainly not theirs.
@@ -23,6 +25,8 @@
     refilled_at: Duration,
     admitted: u64,
     admitted_at: Duration,
+    /// Time of the admission before the last one.
+    admitted_before_at: Option<Duration>,
 }
 
 impl Account {
@@ -31,14 +35,12 @@
         Self {
             rate_per_s,
             burst,
-            level: if is_first_start {
-                burst
-            } else {
-                burst * FIRST_LEVEL
-            },
+            // Others may have spent the burst a moment ago, and the whole fleet may have restarted.
+            level: if is_first_start { burst } else { 0.0 },
             refilled_at: now,
             admitted: 0,
             admitted_at: now,
+            admitted_before_at: None,
         }
     }
 
@@ -55,7 +57,7 @@
         self.level = if had_limit {
             self.level.min(burst)
         } else {
-            burst * FIRST_LEVEL
+            0.0
         };
     }
 
@@ -69,6 +71,22 @@
         self.admitted > 0 && self.admitted_at >= since
     }
 
+    /// Returns whether the team uses up its rate, so that late reports would let it pass the rate: the
+    /// level is low, or two requests came here so close to each other that the same at every one of the
+    /// `processes` is twice the rate.
+    pub fn is_pressed(&self, processes: usize) -> bool {
+        if !self.is_limited() {
+            return false;
+        }
+        let apart = self
+            .admitted_before_at
+            .map(|before| self.admitted_at - before);
+        let is_close = apart.is_some_and(|apart| apart <= PRESSED_SPAN);
+        let expected = self.rate_per_s * PRESSED_SPAN.as_secs_f64();
+        let is_surge = is_close && processes as f64 > expected;
+        is_surge || self.level < self.burst * PRESSED_LEVEL
+    }
+
     /// Admits one request, or tells after what time one may be admitted.
     ///
     /// # Errors
@@ -83,6 +101,7 @@
             }
             self.level -= 1.0;
         }
+        self.admitted_before_at = (self.admitted > 0).then_some(self.admitted_at);
         self.admitted += 1;
         self.admitted_at = now;
         Ok(())
--- a/crates/limpet-gateway/src/rate/ledger.rs
+++ b/crates/limpet-gateway/src/rate/ledger.rs
@@ -135,11 +135,22 @@
 
     /// Returns the sums of this process that changed since a time.
     pub fn counts_since(&self, since: Duration) -> Vec<TeamCount> {
-        let changed = self
+        self.counts_where(|account| account.is_changed_since(since))
+    }
+
+    /// Returns those of them whose teams use up their rates.
+    pub fn pressed_counts_since(&self, since: Duration) -> Vec<TeamCount> {
+        let processes = self.presence.processes;
+        let is_pressed = |a: &Account| a.is_pressed(processes) && a.is_changed_since(since);
+        self.counts_where(is_pressed)
+    }
+
+    fn counts_where(&self, is_wanted: impl Fn(&Account) -> bool) -> Vec<TeamCount> {
+        let wanted = self
             .accounts
             .iter()
-            .filter(|(_, a)| a.is_changed_since(since));
-        changed
+            .filter(|(_, account)| is_wanted(account));
+        wanted
             .map(|(team, account)| TeamCount {
                 team: team.clone(),
                 admitted: account.admitted(),
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -35,6 +35,8 @@
     pub connections_max: u32,
     /// Requests per second that a cold target bears; 0 if not stated.
     pub cold_rate_per_s: f64,
+    /// Whether only a target with a free slot is wanted, as far as this process can tell.
+    pub needs_free_slot: bool,
     /// Processes that share the targets.
     pub processes: usize,
 }
@@ -105,6 +107,7 @@
             let is_usable = !target.is_leaving()
                 && (target.in_flight() as usize) < limit
                 && !wanted.tried.contains(&target.id)
+                && (!wanted.needs_free_slot || target.in_flight() < target.slots)
                 && target.cold().has_room(wanted.cold_part_per_s(), now);
             if !is_usable {
                 continue;
--- a/crates/limpet-gateway/tests/rate.rs
+++ b/crates/limpet-gateway/tests/rate.rs
@@ -249,3 +249,140 @@
         30
     );
 }
+
+/// What a pressing team asks, in multiples of its rate: the users' days have up to eight times its usual
+/// requests, which are 1/1.6 of its rate, and this is more.
+const WANTED: f64 = 6.0;
+
+/// A large fleet whose processes report to each other in turn, under a team that presses.
+#[derive(Clone, Copy, Debug)]
+struct LargeFleet {
+    /// Whether processes tell at once what a pressing team got.
+    tells_pressed: bool,
+    /// Processes that one expects after a restart until it has met them.
+    expected: usize,
+    /// What the team asks, in multiples of its rate.
+    wanted: f64,
+}
+
+impl LargeFleet {
+    const PROCESSES: usize = 64;
+    const TURNS: usize = 4;
+    /// Ticks between two rounds: 150 ms.
+    const ROUND_TICKS: usize = 3;
+    const RESTART_TICK: usize = 150;
+    /// Ticks until the processes have met again: 600 ms.
+    const MEET_TICKS: usize = 12;
+
+    /// Returns what is admitted in each tick; all processes restart in the middle.
+    fn play(self) -> Vec<usize> {
+        let mut ledgers = self.start(true, Self::PROCESSES, Duration::ZERO);
+        let mut admitted = Vec::new();
+        for tick in 0..300 {
+            let now = TICK * tick as u32;
+            if tick == Self::RESTART_TICK {
+                ledgers = self.start(false, self.expected, now);
+            }
+            let met_tick = Self::RESTART_TICK + Self::MEET_TICKS;
+            let has_met = !(Self::RESTART_TICK..met_tick).contains(&tick);
+            if has_met && tick % Self::ROUND_TICKS == 0 {
+                self.report(&mut ledgers, tick, now);
+            }
+            admitted.push(self.admit(&mut ledgers, tick, now));
+        }
+        admitted
+    }
+
+    fn start(self, is_first: bool, processes: usize, now: Duration) -> Vec<Ledger> {
+        let start = |_| {
+            let mut ledger = Ledger::new(is_first);
+            ledger.set_teams([team(RATE_PER_S)].iter(), now);
+            let silent = if is_first { 0 } else { processes - 1 };
+            ledger.set_presence(Presence { processes, silent }, now);
+            ledger
+        };
+        (0..Self::PROCESSES).map(start).collect()
+    }
+
+    fn report(self, ledgers: &mut [Ledger], tick: usize, now: Duration) {
+        let round = tick / Self::ROUND_TICKS;
+        let since = now.saturating_sub(TICK * Self::ROUND_TICKS as u32 * 2);
+        let regular: Vec<_> = ledgers.iter().map(Ledger::counts).collect();
+        let pressed: Vec<_> = ledgers
+            .iter()
+            .map(|l| l.pressed_counts_since(since))
+            .collect();
+        for (index, ledger) in ledgers.iter_mut().enumerate() {
+            let processes = Self::PROCESSES;
+            ledger.set_presence(
+                Presence {
+                    processes,
+                    silent: 0,
+                },
+                now,
+            );
+            for other in (0..processes).filter(|other| *other != index) {
+                let is_turn = (index + round) % Self::TURNS == other % Self::TURNS;
+                let counts = match is_turn {
+                    true => regular[other].clone(),
+                    false if self.tells_pressed => pressed[other].clone(),
+                    false => Vec::new(),
+                };
+                let sums = Sums {
+                    is_complete: is_turn,
+                    counts,
+                };
+                let node = other + if tick < Self::RESTART_TICK { 0 } else { 1000 };
+                ledger.report(node as u64, &sums, Duration::ZERO, now);
+            }
+        }
+    }
+
+    fn admit(self, ledgers: &mut [Ledger], tick: usize, now: Duration) -> usize {
+        let wanted = (RATE_PER_S * self.wanted * TICK.as_secs_f64()) as usize;
+        let first = tick * wanted;
+        let asked = (first..first + wanted).map(|request| request * 7 % Self::PROCESSES);
+        asked
+            .filter(|index| ledgers[*index].admit("team", now).is_ok())
+            .count()
+    }
+}
+
+/// Guards against a large fleet whose reports come too late for a team that presses.
+#[test]
+fn large_fleet_tells_at_once_what_a_pressing_team_got() {
+    let fleet = LargeFleet {
+        tells_pressed: true,
+        expected: 16,
+        wanted: WANTED,
+    };
+    assert!(!breaks_the_bound(&fleet.play()));
+    let late = LargeFleet {
+        tells_pressed: false,
+        ..fleet
+    };
+    assert!(
+        breaks_the_bound(&late.play()),
+        "reports in turn alone pass the bound"
+    );
+}
+
+/// Guards against processes that each take a large part of the rate before they have met, after all
+/// were killed (first seen as QUOTA on trouble-3 of the grown mcfsa-limpets).
+#[test]
+fn large_fleet_keeps_the_rate_over_a_restart() {
+    let fleet = LargeFleet {
+        tells_pressed: true,
+        expected: 16,
+        wanted: WANTED,
+    };
+    assert!(!breaks_the_bound(&fleet.play()));
+    let hasty = LargeFleet {
+        expected: 2,
+        ..fleet
+    };
+    assert!(
+        breaks_the_bound(&hasty.play()),
+        "processes that expect one other pass the bound"
+    );
+}
--- a/crates/limpet-gateway/tests/roster.rs
+++ b/crates/limpet-gateway/tests/roster.rs
@@ -16,6 +16,7 @@
 const LIMITS: RosterLimits = RosterLimits {
     silent_after: Duration::from_millis(700),
     gone_after: Duration::from_secs(12),
+    meet_time: Duration::ZERO,
     seeds_max: 3,
 };
 
@@ -139,3 +140,28 @@
     assert_eq!(roster.presence(interval * 2).silent, 0);
     assert_eq!(roster.presence(interval * 5).silent, 66);
 }
+
+/// Guards against processes that each take a large part of the rates before they have met.
+#[test]
+fn started_process_expects_others_for_a_while() {
+    let limits = RosterLimits {
+        meet_time: at(600),
+        ..LIMITS
+    };
+    let mut roster = Roster::new(limits, addr(0), &[]);
+    roster.hear(addr(1), 1, 0, at(100));
+    assert_eq!(
+        roster.presence(at(200)),
+        Presence {
+            processes: 16,
+            silent: 14
+        }
+    );
+    assert_eq!(
+        roster.presence(at(600)),
+        Presence {
+            processes: 2,
+            silent: 0
+        }
+    );
+}
--- a/crates/limpet-gateway/tests/support/fleet.rs
+++ b/crates/limpet-gateway/tests/support/fleet.rs
@@ -271,6 +271,7 @@
         roster: RosterLimits {
             silent_after: Duration::from_millis(700),
             gone_after: Duration::from_secs(12),
+            meet_time: Duration::ZERO,
             seeds_max: 3,
         },
         lapse_grace: Duration::from_secs(2),
