Welcome a joining machine with the levels of the rates

Cause: a machine that restarts into a running fleet had no tokens and expected 15 others for 600 ms. Change: the first report to a machine that was just met holds how many there are and what is left of each rate. Conclusion: kept for the single restarts; the first 600 ms after a loss of the whole fleet stay refused in part.

--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -26,7 +26,8 @@
     NodeId,
     REPORT_FANOUT,
     REPORT_PERIOD,
-    Report, //
+    Report,
+    Welcome, //
 };
 use crate::{
     board::Board,
@@ -147,7 +148,7 @@
             is_complete,
             counts,
         };
-        self.send_report(sums, is_leaving, &addrs).await;
+        self.send_to(&self.report(sums, is_leaving), &addrs).await;
         let pressed = board
             .ledger()
             .pressed_counts_since(now.saturating_sub(REPORT_PERIOD * 2));
@@ -156,7 +157,7 @@
                 is_complete: false,
                 counts: pressed,
             };
-            self.send_report(sums, false, &others).await;
+            self.send_to(&self.report(sums, false), &others).await;
         }
     }
 
@@ -166,10 +167,21 @@
             is_complete: true,
             counts: self.board.ledger().counts(),
         };
-        self.send_report(sums, false, &[addr]).await;
+        let now = self.board.now();
+        let presence = self.board.ledger().presence();
+        let has_met = self.board.roster().has_met_others(now);
+        let welcome = has_met.then(|| Welcome {
+            processes: presence.processes,
+            levels: self.board.ledger().levels(now),
+        });
+        let report = Report {
+            welcome,
+            ..self.report(sums, false)
+        };
+        self.send_to(&report, &[addr]).await;
     }
 
-    async fn send_report(&self, sums: Sums, is_leaving: bool, addrs: &[SocketAddr]) {
+    fn report(&self, sums: Sums, is_leaving: bool) -> Report {
         let board = &self.board;
         let now = board.now();
         let mut known = board.roster().live_addrs(now);
@@ -178,16 +190,20 @@
             true => KNOWN_FIRST_MAX,
             false => KNOWN_MAX,
         });
-        let report = Report {
+        Report {
             node: self.node,
             addr: board.settings.peer_addr,
             is_leaving,
             sums,
+            welcome: None,
             known,
             strikes: board.strikes().export(STRIKES_MAX, now),
             revision: board.state().revision(),
-        };
-        let bytes = match codec::encode(&report) {
+        }
+    }
+
+    async fn send_to(&self, report: &Report, addrs: &[SocketAddr]) {
+        let bytes = match codec::encode(report) {
             Ok(bytes) => bytes,
             Err(error) => {
                 tracing::error!(%error, "report cannot be encoded");
@@ -240,7 +256,13 @@
         if let Some(node) = heard.replaced {
             board.ledger().forget(node);
         }
+        let welcome = report.welcome.as_ref();
+        let welcome = welcome.filter(|w| board.roster().welcome(w.processes, now));
         self.update_presence(now);
+        if let Some(welcome) = welcome {
+            tracing::info!(addr = %report.addr, processes = welcome.processes, "welcomed");
+            board.ledger().adopt_levels(&welcome.levels, now);
+        }
         board
             .ledger()
             .report(report.node, &report.sums, heard.silence, now);
--- a/crates/limpet-gateway/src/members/message.rs
+++ b/crates/limpet-gateway/src/members/message.rs
@@ -8,11 +8,23 @@
     Serialize, //
 };
 
-use crate::rate::Sums;
+use crate::rate::{
+    Sums,
+    TeamLevel, //
+};
 
 /// Random number of one process incarnation.
 pub type NodeId = u64;
 
+/// What a process that has met the others tells one that just started.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// Processes that the sender knows, itself included.
+    pub processes: usize,
+    /// Tokens that it sees left.
+    pub levels: Vec<TeamLevel>,
+}
+
 /// What one process tells another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -24,6 +36,8 @@
     pub is_leaving: bool,
     /// Requests that the sender admitted.
     pub sums: Sums,
+    /// For a process that was just met, from one that has met the others.
+    pub welcome: Option<Welcome>,
     /// Other processes that the sender knows.
     pub known: Vec<SocketAddr>,
     /// Requests that crashed targets.
--- a/crates/limpet-gateway/src/members/mod.rs
+++ b/crates/limpet-gateway/src/members/mod.rs
@@ -11,7 +11,8 @@
     },
     message::{
         NodeId,
-        Report, //
+        Report,
+        Welcome, //
     },
     roster::{
         REPORT_FANOUT,
--- a/crates/limpet-gateway/src/members/roster.rs
+++ b/crates/limpet-gateway/src/members/roster.rs
@@ -51,6 +51,9 @@
     members: BTreeMap<SocketAddr, Member>,
     /// Addresses that others told, not heard yet, with the time of the first mention.
     candidates: BTreeMap<SocketAddr, Duration>,
+    /// Processes that are expected until the time to meet them is over.
+    expected: usize,
+    is_welcomed: bool,
 }
 
 /// What a report changed.
@@ -74,6 +77,8 @@
             seeds: seeds.collect(),
             members: BTreeMap::new(),
             candidates: BTreeMap::new(),
+            expected: EXPECTED_PROCESSES,
+            is_welcomed: false,
         }
     }
 
@@ -160,7 +165,7 @@
             false => self.members.len() + 1,
         };
         let processes = match now < self.limits.meet_time {
-            true => met.max(EXPECTED_PROCESSES),
+            true => met.max(self.expected),
             false => met,
         };
         Presence {
@@ -169,6 +174,22 @@
         }
     }
 
+    /// Returns whether the process has had time to meet the others.
+    pub fn has_met_others(&self, now: Duration) -> bool {
+        now >= self.limits.meet_time
+    }
+
+    /// Takes over how many processes another one knows that was there before; false if this process
+    /// knows already.
+    pub fn welcome(&mut self, processes: usize, now: Duration) -> bool {
+        if self.is_welcomed || self.has_met_others(now) {
+            return false;
+        }
+        self.is_welcomed = true;
+        self.expected = processes;
+        true
+    }
+
     /// Returns the number of other processes heard within the limit.
     pub fn heard(&self, now: Duration) -> usize {
         let silent_after = self.silent_after();
--- a/crates/limpet-gateway/src/rate/account.rs
+++ b/crates/limpet-gateway/src/rate/account.rs
@@ -125,6 +125,18 @@
         self.level = level.min((self.burst * share).max(1.0));
     }
 
+    /// Returns the tokens that are left.
+    pub fn level(&mut self, share: f64, now: Duration) -> f64 {
+        self.refill(share, now);
+        self.level
+    }
+
+    /// Takes over the tokens that another process sees left.
+    pub fn adopt_level(&mut self, level: f64, share: f64, now: Duration) {
+        self.refilled_at = now;
+        self.level = level.min((self.burst * share).max(1.0));
+    }
+
     /// Requests per second of the whole fleet.
     pub const fn rate_per_s(&self) -> f64 {
         self.rate_per_s
--- a/crates/limpet-gateway/src/rate/ledger.rs
+++ b/crates/limpet-gateway/src/rate/ledger.rs
@@ -23,6 +23,15 @@
     pub admitted: u64,
 }
 
+/// Tokens of one team that a process sees left.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TeamLevel {
+    /// Name of the team.
+    pub team: Box<str>,
+    /// Tokens, less than zero after an overdraft.
+    pub level: f64,
+}
+
 /// Sums of one process in a report.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sums {
@@ -69,6 +78,8 @@
     reported: HashMap<NodeId, Reported>,
     presence: Presence,
     is_first_start: bool,
+    /// Levels taken over before the teams were known, with their time.
+    adopted: Vec<(TeamLevel, Duration)>,
 }
 
 impl Ledger {
@@ -82,6 +93,7 @@
                 silent: 0,
             },
             is_first_start,
+            adopted: Vec::new(),
         }
     }
 
@@ -100,6 +112,12 @@
         }
         self.accounts = accounts;
         self.is_first_start = false;
+        for (known, at) in std::mem::take(&mut self.adopted) {
+            if let Some(account) = self.accounts.get_mut(&known.team) {
+                account.adopt_level(known.level, share, at);
+                account.refill(share, now);
+            }
+        }
     }
 
     /// Takes over who shares the rates, after what was earned until now.
@@ -128,9 +146,13 @@
         let Some(account) = self.accounts.get_mut(team) else {
             return Ok(());
         };
-        // The processes take turns at the tokens of a team that wants more than there are.
-        let processes = self.presence.processes.max(1) as u32;
-        account.admit(share, now).map_err(|wait| wait * processes)
+        // The processes that share these tokens take turns at them.
+        let heard = self
+            .presence
+            .processes
+            .saturating_sub(self.presence.silent)
+            .max(1) as u32;
+        account.admit(share, now).map_err(|wait| wait * heard)
     }
 
     /// Returns the sums of this process that changed since a time.
@@ -163,6 +185,32 @@
         self.counts_since(Duration::ZERO)
     }
 
+    /// Returns the tokens that are left of each limited team.
+    pub fn levels(&mut self, now: Duration) -> Vec<TeamLevel> {
+        let share = self.presence.share();
+        let limited = self
+            .accounts
+            .iter_mut()
+            .filter(|(_, account)| account.is_limited());
+        limited
+            .map(|(team, account)| TeamLevel {
+                team: team.clone(),
+                level: account.level(share, now),
+            })
+            .collect()
+    }
+
+    /// Takes over the tokens that a process sees which was there before this one.
+    pub fn adopt_levels(&mut self, levels: &[TeamLevel], now: Duration) {
+        let share = self.presence.share();
+        for known in levels {
+            match self.accounts.get_mut(&known.team) {
+                Some(account) => account.adopt_level(known.level, share, now),
+                None => self.adopted.push((known.clone(), now)),
+            }
+        }
+    }
+
     /// Takes in the sums of another process; `silence` is how long it was not heard before, for which
     /// its part of the rate was already left to it.
     pub fn report(&mut self, node: NodeId, sums: &Sums, silence: Duration, now: Duration) {
--- a/crates/limpet-gateway/src/rate/mod.rs
+++ b/crates/limpet-gateway/src/rate/mod.rs
@@ -9,6 +9,7 @@
         Ledger,
         Presence,
         Sums,
-        TeamCount, //
+        TeamCount,
+        TeamLevel, //
     },
 };
--- a/crates/limpet-gateway/tests/rate.rs
+++ b/crates/limpet-gateway/tests/rate.rs
@@ -386,3 +386,27 @@
         "processes that expect one other pass the bound"
     );
 }
+
+/// Guards against a process that joins with tokens that others have spent, or with none; it may know the
+/// teams before or after it is told.
+#[test]
+fn joining_process_takes_over_what_is_left() {
+    let mut there = Ledger::new(true);
+    there.set_teams([team(RATE_PER_S)].iter(), Duration::ZERO);
+    for _ in 0..30 {
+        there.admit("team", Duration::ZERO).unwrap();
+    }
+    let levels = there.levels(Duration::ZERO);
+    for knows_teams in [false, true] {
+        let mut joining = Ledger::new(false);
+        if knows_teams {
+            joining.set_teams([team(RATE_PER_S)].iter(), Duration::ZERO);
+        }
+        joining.adopt_levels(&levels, Duration::ZERO);
+        joining.set_teams([team(RATE_PER_S)].iter(), Duration::ZERO);
+        let admitted = (0..100)
+            .filter(|_| joining.admit("team", Duration::ZERO).is_ok())
+            .count();
+        assert_eq!(admitted, 10);
+    }
+}
--- a/crates/limpet-gateway/tests/roster.rs
+++ b/crates/limpet-gateway/tests/roster.rs
@@ -165,3 +165,23 @@
         }
     );
 }
+
+/// Guards against refusing a team within its rate at a process that joins a running fleet.
+#[test]
+fn welcomed_process_knows_how_many_there_are() {
+    let limits = RosterLimits {
+        meet_time: at(600),
+        ..LIMITS
+    };
+    let mut roster = Roster::new(limits, addr(0), &[]);
+    roster.hear(addr(1), 1, 0, at(100));
+    assert!(roster.welcome(3, at(100)));
+    assert!(!roster.welcome(9, at(150)), "the first welcome counts");
+    assert_eq!(
+        roster.presence(at(200)),
+        Presence {
+            processes: 3,
+            silent: 1
+        }
+    );
+}
