Tell a request that timed out as such, whichever deadline is noticed first

Cause: an attempt ends at the deadline of its request; if it was noticed before the request's own, the request ended as broken (502) instead of timed out (504). Change: nothing left running after the deadline is a timeout.

--- a/crates/limpet-gateway/src/query/repeat.rs
+++ b/crates/limpet-gateway/src/query/repeat.rs
@@ -259,6 +259,8 @@
     fn finish(&mut self) -> Result<TargetReply, Failure> {
         match self.last_failed_reply.take() {
             Some(reply) => Ok(reply),
+            // The attempt's own deadline is that of the query and may be noticed first.
+            None if self.is_maybe_run && self.query.left().is_zero() => Err(TIMED_OUT),
             None if self.is_maybe_run => Err(Failure {
                 reason: RefusalReason::Broken,
                 is_not_run: false,
