Take a success without a signature for a broken reply

Cause: a reply of one target was passed on if its request id fitted; only the parts of a gathered answer had to be signed.

Change: a success without the signature header counts as broken, so that it is repeated where that is allowed and answered with 502 elsewhere. The stand-in target can answer unsigned and counts the connections that are open.

Ruled out: refusing it as not run, since the target may have run the request.

Before: single.rs unsigned_success_is_repeated and unsigned_success_is_not_repeated failed (200 with the unsigned body). After: both pass.

--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -235,6 +235,11 @@
     if reply.headers.contains_key(&dialect.not_run) {
         return Err(AttemptError::new(AttemptErrorKind::NotRun, reply.status));
     }
+    let is_unsigned = !reply.headers.contains_key(&dialect.signature);
+    if reply.status.is_success() && is_unsigned {
+        let context = "a success without a signature";
+        return Err(AttemptError::new(AttemptErrorKind::Broken, context));
+    }
     Ok(reply)
 }
 
--- a/crates/limpet-gateway/tests/single.rs
+++ b/crates/limpet-gateway/tests/single.rs
@@ -75,6 +75,7 @@
     lost_reply_is_not_repeated => Behaviour::Close, 502;
     crossed_reply_is_not_repeated => Behaviour::Crossed, 502;
     truncated_reply_is_not_repeated => Behaviour::Truncated, 502;
+    unsigned_success_is_not_repeated => Behaviour::Unsigned, 502;
 }
 
 async fn is_not_run(behaviour: Behaviour, status: u16) {
@@ -112,6 +113,7 @@
     lost_reply_is_repeated => Behaviour::Close, b"good";
     crossed_reply_is_repeated => Behaviour::Crossed, b"good";
     truncated_reply_is_repeated => Behaviour::Truncated, b"good";
+    unsigned_success_is_repeated => Behaviour::Unsigned, b"good";
     shed_request_is_repeated => Behaviour::Shed, b"good";
     silent_target_is_overtaken => Behaviour::Silent, b"good";
 }
--- a/crates/limpet-gateway/tests/support/target.rs
+++ b/crates/limpet-gateway/tests/support/target.rs
@@ -3,8 +3,11 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
-        Mutex, //
+        Arc, Mutex,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
     },
     time::Duration,
 };
@@ -24,7 +27,10 @@
         JoinHandle,
         JoinSet, //
     },
-    time::sleep,
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 /// What a target does with a request.
@@ -46,6 +52,8 @@
     Truncated,
     /// Another target has the address.
     OtherTarget,
+    /// Answers with success but without a signature.
+    Unsigned,
 }
 
 /// A request that arrived.
@@ -65,6 +73,7 @@
 pub(crate) struct StandInTarget {
     pub(crate) addr: SocketAddr,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    open: Arc<AtomicUsize>,
     accepting: JoinHandle<()>,
 }
 
@@ -84,6 +93,8 @@
         let arrivals = Arc::new(Mutex::new(Vec::new()));
         let choose: Choose = Arc::new(choose);
         let seen = Arc::clone(&arrivals);
+        let open = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&open);
         let accepting = tokio::spawn(async move {
             let crash = Arc::new(Notify::new());
             let mut connections = JoinSet::new();
@@ -92,7 +103,13 @@
                     accepted = listener.accept() => {
                         let (stream, _) = accepted.unwrap();
                         let (choose, seen) = (Arc::clone(&choose), Arc::clone(&seen));
-                        connections.spawn(serve(stream, choose, seen, Arc::clone(&crash)));
+                        let served = serve(stream, choose, seen, Arc::clone(&crash));
+                        let counted = Arc::clone(&counted);
+                        connections.spawn(async move {
+                            counted.fetch_add(1, Ordering::Relaxed);
+                            served.await;
+                            counted.fetch_sub(1, Ordering::Relaxed);
+                        });
                     }
                     () = crash.notified() => return,
                 }
@@ -101,6 +118,7 @@
         Self {
             addr,
             arrivals,
+            open,
             accepting,
         }
     }
@@ -110,6 +128,11 @@
         Self::start(move |_, _| behaviour.clone()).await
     }
 
+    /// Returns the connections that the other side has not closed.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Returns the requests that arrived.
     pub(crate) fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().unwrap().clone()
@@ -144,6 +167,9 @@
             Behaviour::Shed => answer(503, &id, b"", "t-not-run: 1\r\n"),
             Behaviour::OtherTarget => answer(421, &id, b"", "t-target: other\r\n"),
             Behaviour::Crossed => answer(200, "another-request", b"crossed", ""),
+            Behaviour::Unsigned => {
+                format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\ncontent-length: 4\r\n\r\nfake").into()
+            }
             Behaviour::Truncated => {
                 let mut whole = answer(200, &id, b"0123456789abcdef", "");
                 whole.truncate(whole.len() - 4);
@@ -157,7 +183,8 @@
                 return;
             }
             Behaviour::Silent => {
-                sleep(Duration::from_secs(30)).await;
+                // Ends when the other side closes the connection.
+                let _ = timeout(Duration::from_secs(30), stream.read_u8()).await;
                 return;
             }
         };
