Bound the time of a caller's body and close after a refusal that did not run

Cause: the body of a request was awaited without a limit, so that a caller that never ends it held its connection and memory for good.

Change: a body that is not there within the time that the caller states is answered with 408, which promises that the request did not run, and with "Connection: close". Refusals with 408, 429 and 503 close the connection.

Ruled out: a limit on idle connections only; the refused ones are not idle long enough to be told from those in use.

Before: callers.rs body_that_does_not_end_is_refused_as_not_run and refused_caller_is_asked_to_close failed.

--- a/crates/limpet-gateway/src/front/handler.rs
+++ b/crates/limpet-gateway/src/front/handler.rs
@@ -27,7 +27,10 @@
 use hyper::body::Incoming;
 use limpet_decide::quarantine::Verdict;
 use limpet_types::deployment::Destination;
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    timeout, //
+};
 
 use super::respond::respond;
 use crate::{
@@ -114,9 +117,12 @@
     let table = board.table.load_full().ok_or(no_text)?;
     trace.version = table.text().version;
     let limits = &table.text().limits;
-    let body = Limited::new(body, limits.body_max_bytes).collect().await;
+    let stated = stated_time(board, &head);
+    let body = Limited::new(body, limits.body_max_bytes).collect();
+    let body = timeout(stated.unwrap_or(limits.head_timeout), body).await;
+    let body = body.map_err(|_| Refusal::not_run(RefusalReason::BodyTooSlow))?;
     let body = body.map_err(|error| body_refusal(&*error))?.to_bytes();
-    let query = admit(board, table, head, body, arrived, trace)?;
+    let query = admit(board, table, head, body, stated, arrived, trace)?;
     let query = Arc::new(query);
     match &query.route.destination {
         Destination::Split(split) => run_single(Arc::clone(&query), split).await,
@@ -124,6 +130,13 @@
     }
 }
 
+/// Returns how long the caller waits, if it says so.
+fn stated_time(board: &Board, head: &Parts) -> Option<Duration> {
+    let stated = head.headers.get(&board.dialect.deadline_ms)?;
+    let stated_ms = stated.to_str().ok()?.trim().parse().ok()?;
+    Some(Duration::from_millis(stated_ms))
+}
+
 fn body_refusal(error: &(dyn std::error::Error + Send + Sync + 'static)) -> Refusal {
     match error.is::<http_body_util::LengthLimitError>() {
         true => Refusal::not_run(RefusalReason::BodyTooLarge),
@@ -137,6 +150,7 @@
     table: Arc<RouteTable>,
     head: Parts,
     body: Bytes,
+    stated: Option<Duration>,
     arrived: Instant,
     trace: &mut Trace,
 ) -> Result<QueryContext, Refusal> {
@@ -162,14 +176,7 @@
         .map(|team| team.name.clone());
     trace.team = team.clone().unwrap_or_default();
 
-    let waits = head
-        .headers
-        .get(&dialect.deadline_ms)
-        .and_then(|ms| ms.to_str().ok());
-    let waits = waits
-        .and_then(|ms| ms.trim().parse().ok())
-        .map(Duration::from_millis);
-    let time = waits.unwrap_or(route.timeout).min(route.timeout);
+    let time = stated.unwrap_or(route.timeout).min(route.timeout);
     let margin = CALLER_MARGIN.min(time / 10);
     let deadline = arrived + time - margin;
     if deadline <= Instant::now() {
--- a/crates/limpet-gateway/src/front/respond.rs
+++ b/crates/limpet-gateway/src/front/respond.rs
@@ -27,13 +27,15 @@
     target::TargetReply, //
 };
 
-/// Builds the response to a caller; a process that stops, or has too many
-/// connections, closes the connection after it.
+/// Builds the response to a caller; after a refusal that did not run, and in a process that stops or
+/// has too many connections, the connection closes.
 pub(super) fn respond(
     board: &Board,
     request_id: Option<HeaderValue>,
     outcome: Outcome,
 ) -> Response<Full<Bytes>> {
+    // Callers come back on a new connection after such a refusal; the old one would only stay idle.
+    let is_not_run = matches!(&outcome, Err(refusal) if promises_not_run(refusal.status()));
     let mut response = match outcome {
         Ok(Answer::Reply(reply)) => unchanged(&board.dialect, reply),
         Ok(Answer::Gathered {
@@ -47,7 +49,7 @@
     if let Some(id) = request_id {
         headers.insert(&board.dialect.request_id, id);
     }
-    if board.closes_callers() {
+    if is_not_run || board.closes_callers() {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -92,16 +94,23 @@
     response
 }
 
+/// Returns whether a status tells the caller that its request did not run and never will.
+const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
 fn refused(refusal: Refusal) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(
         refusal.reason.label().as_bytes(),
     )));
     *response.status_mut() = refusal.status();
-    let promises_not_run = matches!(
-        refusal.status(),
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-    );
-    if let Some(after) = refusal.retry_after.filter(|_| promises_not_run) {
+    let is_not_run = promises_not_run(refusal.status());
+    if let Some(after) = refusal.retry_after.filter(|_| is_not_run) {
         response.headers_mut().insert(RETRY_AFTER, seconds(after));
     }
     response
--- a/crates/limpet-gateway/src/query/outcome.rs
+++ b/crates/limpet-gateway/src/query/outcome.rs
@@ -16,6 +16,8 @@
     BadRequest,
     /// The body is larger than the text allows.
     BodyTooLarge,
+    /// The body did not come in time.
+    BodyTooSlow,
     /// No route matches.
     NoRoute,
     /// The key is missing or belongs to no team.
@@ -44,6 +46,7 @@
         match self {
             Self::BadRequest => "bad_request",
             Self::BodyTooLarge => "body_too_large",
+            Self::BodyTooSlow => "body_too_slow",
             Self::NoRoute => "no_route",
             Self::BadKey => "bad_key",
             Self::OverRate => "over_rate",
@@ -94,11 +97,12 @@
         self
     }
 
-    /// Returns the status; 429 and 503 promise that the request did not run.
+    /// Returns the status; 408, 429 and 503 promise that the request did not run.
     pub const fn status(self) -> StatusCode {
         match (self.reason, self.is_not_run) {
             (RefusalReason::BadRequest, _) => StatusCode::BAD_REQUEST,
             (RefusalReason::BodyTooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+            (RefusalReason::BodyTooSlow, _) => StatusCode::REQUEST_TIMEOUT,
             (RefusalReason::NoRoute, _) => StatusCode::NOT_FOUND,
             (RefusalReason::BadKey, _) => StatusCode::UNAUTHORIZED,
             (RefusalReason::OverRate, _) => StatusCode::TOO_MANY_REQUESTS,
--- /dev/null
+++ b/crates/limpet-gateway/tests/callers.rs
@@ -0,0 +1,142 @@
+//! Callers that leave, are slow or come back too soon.
+
+mod support;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use limpet_types::deployment::{
+    Repeat,
+    Text, //
+};
+use support::{
+    Behaviour,
+    Deployment,
+    RunningGateway,
+    StandInTarget,
+    gather_route,
+    get,
+    record,
+    route,
+    text, //
+};
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+/// Time after which nothing may be sent, and nobody be at work, for a caller that left.
+const GONE_LIMIT: Duration = Duration::from_millis(500);
+
+async fn serve(text: Text, targets: &[(&str, &StandInTarget)]) -> RunningGateway {
+    let deployment = Deployment::new();
+    deployment.publish_text(text);
+    for (index, (service, target)) in targets.iter().enumerate() {
+        deployment.publish_target(&format!("t{index}"), record(service, target.addr));
+    }
+    RunningGateway::start(&deployment).await
+}
+
+fn head(path: &str, length: usize, deadline_ms: u64) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: shop.example\r\nt-id: request-1\r\nt-key: key-a\r\n\
+         t-deadline: {deadline_ms}\r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
+/// Sends a request, leaves while targets work on it, and returns whether they notice in time and get
+/// nothing more.
+async fn leaves(text: Text, path: &str, targets: &[(&str, &StandInTarget)]) {
+    let gateway = serve(text, targets).await;
+    let mut caller = TcpStream::connect(gateway.caller_addr).await.unwrap();
+    caller
+        .write_all(head(path, 0, 2000).as_bytes())
+        .await
+        .unwrap();
+    for (_, target) in targets {
+        while target.arrivals().is_empty() {
+            sleep(Duration::from_millis(2)).await;
+        }
+    }
+    drop(caller);
+    sleep(GONE_LIMIT).await;
+    let arrivals = || {
+        targets
+            .iter()
+            .map(|(_, t)| t.arrivals().len())
+            .sum::<usize>()
+    };
+    let before = arrivals();
+    for (service, target) in targets {
+        assert_eq!(target.open_connections(), 0, "{service} still works");
+    }
+    sleep(GONE_LIMIT).await;
+    assert_eq!(
+        arrivals(),
+        before,
+        "a request was sent for a caller that left"
+    );
+}
+
+/// Guards against work for callers that left.
+#[tokio::test]
+async fn request_ends_with_its_caller() {
+    let silent = StandInTarget::always(Behaviour::Silent).await;
+    let text = text(1, vec![route("/one/", Repeat::Forbidden, "s")], &["s"]);
+    leaves(text, "/one/a", &[("s", &silent)]).await;
+}
+
+/// Guards against work of shards for callers that left.
+#[tokio::test]
+async fn query_over_shards_ends_with_its_caller() {
+    let one = StandInTarget::always(Behaviour::Silent).await;
+    let other = StandInTarget::always(Behaviour::Silent).await;
+    let routes = vec![gather_route("/all/", &["s1", "s2"], 1.0)];
+    let text = text(1, routes, &["s1", "s2"]);
+    leaves(text, "/all/a", &[("s1", &one), ("s2", &other)]).await;
+}
+
+/// Guards against a caller that holds a connection by never ending its body, and against sending such
+/// a request to a target.
+#[tokio::test]
+async fn body_that_does_not_end_is_refused_as_not_run() {
+    let target = StandInTarget::always(Behaviour::Answer(200, b"good", Duration::ZERO)).await;
+    let text = text(1, vec![route("/one/", Repeat::Forbidden, "s")], &["s"]);
+    let gateway = serve(text, &[("s", &target)]).await;
+    let mut caller = TcpStream::connect(gateway.caller_addr).await.unwrap();
+    let started = Instant::now();
+    caller
+        .write_all(head("/one/a", 8, 300).as_bytes())
+        .await
+        .unwrap();
+    caller.write_all(b"half").await.unwrap();
+    let mut reply = Vec::new();
+    let reading = caller.read_to_end(&mut reply);
+    timeout(Duration::from_secs(2), reading)
+        .await
+        .expect("the connection stays open")
+        .unwrap();
+    assert!(reply.starts_with(b"HTTP/1.1 408"), "{reply:?}");
+    assert!(started.elapsed() >= Duration::from_millis(300));
+    assert!(target.arrivals().is_empty());
+}
+
+/// Guards against holding the connections of refused callers, who come back on new ones.
+#[tokio::test]
+async fn refused_caller_is_asked_to_close() {
+    let text = text(1, vec![route("/one/", Repeat::Allowed, "s")], &["s"]);
+    let target = StandInTarget::always(Behaviour::Shed).await;
+    let gateway = serve(text, &[("s", &target)]).await;
+    let reply = get(gateway.caller_addr, "/one/a").await;
+    assert_eq!(reply.status, 503);
+    assert_eq!(reply.header("connection"), "close");
+}
