Drop the revision from reports, which nothing read

Cause: Report::revision and Roster::revision_max were left from a way to choose the reader that was not taken; the reports carried eight bytes for it.

Change: both are gone, with the parameter of Roster::hear. The tests of the roster keep their assertions.

Ruled out: using it to skip a stale reader; the age in its reply does that.

--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -198,7 +198,6 @@
             welcome: None,
             known,
             strikes: board.strikes().export(STRIKES_MAX, now),
-            revision: board.state().revision(),
         }
     }
 
@@ -244,7 +243,7 @@
         let heard = {
             let mut roster = board.roster();
             roster.mention(&report.known, now);
-            roster.hear(report.addr, report.node, report.revision, now)
+            roster.hear(report.addr, report.node, now)
         };
         if heard.is_new {
             tracing::info!(addr = %report.addr, node = report.node, replaced = heard.replaced,
--- a/crates/limpet-gateway/src/members/message.rs
+++ b/crates/limpet-gateway/src/members/message.rs
@@ -42,6 +42,4 @@
     pub known: Vec<SocketAddr>,
     /// Requests that crashed targets.
     pub strikes: Vec<Strike>,
-    /// Newest revision of the deployment's state that the sender knows.
-    pub revision: u64,
 }
--- a/crates/limpet-gateway/src/members/roster.rs
+++ b/crates/limpet-gateway/src/members/roster.rs
@@ -39,7 +39,6 @@
 struct Member {
     node: NodeId,
     heard_at: Duration,
-    revision: u64,
 }
 
 /// Processes heard, by address.
@@ -101,12 +100,11 @@
     }
 
     /// Notes a report of a process.
-    pub fn hear(&mut self, addr: SocketAddr, node: NodeId, revision: u64, now: Duration) -> Heard {
+    pub fn hear(&mut self, addr: SocketAddr, node: NodeId, now: Duration) -> Heard {
         self.candidates.remove(&addr);
         let member = Member {
             node,
             heard_at: now,
-            revision,
         };
         let before = self.members.insert(addr, member);
         let same = before.as_ref().filter(|before| before.node == node);
@@ -217,9 +215,4 @@
         addrs.sort_unstable();
         addrs
     }
-
-    /// Returns the newest revision that a process heard of.
-    pub fn revision_max(&self) -> u64 {
-        self.members.values().map(|m| m.revision).max().unwrap_or(0)
-    }
 }
--- a/crates/limpet-gateway/tests/roster.rs
+++ b/crates/limpet-gateway/tests/roster.rs
@@ -31,7 +31,7 @@
 fn roster_with(others: u8) -> Roster {
     let mut roster = Roster::new(LIMITS, addr(0), &[addr(0), addr(1), addr(2)]);
     for number in 1..=others {
-        roster.hear(addr(number), u64::from(number), 0, at(0));
+        roster.hear(addr(number), u64::from(number), at(0));
     }
     roster
 }
@@ -53,8 +53,8 @@
 #[test]
 fn silent_process_keeps_its_part() {
     let mut roster = roster_with(3);
-    roster.hear(addr(1), 1, 0, at(1000));
-    roster.hear(addr(2), 2, 0, at(1000));
+    roster.hear(addr(1), 1, at(1000));
+    roster.hear(addr(2), 2, at(1000));
     assert!(roster.expire(at(1200)).is_empty());
     assert_eq!(
         roster.presence(at(1200)),
@@ -70,7 +70,7 @@
 fn silent_process_is_given_up_by_a_majority() {
     let mut roster = roster_with(3);
     for number in 1..=2 {
-        roster.hear(addr(number), u64::from(number), 0, at(12_100));
+        roster.hear(addr(number), u64::from(number), at(12_100));
     }
     assert_eq!(roster.expire(at(12_200)), [3]);
     assert_eq!(
@@ -86,7 +86,7 @@
 #[test]
 fn minority_gives_up_nobody() {
     let mut roster = roster_with(4);
-    roster.hear(addr(1), 1, 0, at(60_000));
+    roster.hear(addr(1), 1, at(60_000));
     assert!(roster.expire(at(60_100)).is_empty());
     assert_eq!(
         roster.presence(at(60_100)),
@@ -101,7 +101,7 @@
 #[test]
 fn restarted_process_replaces_its_former_incarnation() {
     let mut roster = roster_with(2);
-    let heard = roster.hear(addr(1), 99, 0, at(100));
+    let heard = roster.hear(addr(1), 99, at(100));
     assert!(heard.is_new);
     assert_eq!(heard.replaced, Some(1));
     assert_eq!(roster.presence(at(100)).processes, 3);
@@ -133,7 +133,7 @@
 fn process_of_a_large_fleet_is_not_silent_between_reports() {
     let mut roster = Roster::new(LIMITS, addr(0), &[]);
     for number in 1..=66 {
-        roster.hear(addr(number), u64::from(number), 0, at(0));
+        roster.hear(addr(number), u64::from(number), at(0));
     }
     let interval = roster.report_interval();
     assert_eq!(interval, at(750));
@@ -149,7 +149,7 @@
         ..LIMITS
     };
     let mut roster = Roster::new(limits, addr(0), &[]);
-    roster.hear(addr(1), 1, 0, at(100));
+    roster.hear(addr(1), 1, at(100));
     assert_eq!(
         roster.presence(at(200)),
         Presence {
@@ -174,7 +174,7 @@
         ..LIMITS
     };
     let mut roster = Roster::new(limits, addr(0), &[]);
-    roster.hear(addr(1), 1, 0, at(100));
+    roster.hear(addr(1), 1, at(100));
     assert!(roster.welcome(3, at(100)));
     assert!(!roster.welcome(9, at(150)), "the first welcome counts");
     assert_eq!(
