--- a/crates/limpet-gateway/src/target/cold_gate.rs
+++ b/crates/limpet-gateway/src/target/cold_gate.rs
@@ -2,27 +2,40 @@
 
 use std::time::Duration;
 
-use rand::Rng;
-
 /// Part of the rate that a cold target states which is used: processes whose turns fall into the same
 /// second must not pass the rate together.
-const USED_PART: f64 = 0.6;
+const USED_PART: f64 = 0.5;
+/// Time for which a turn may be taken; many processes with turns left over from an idle time would send
+/// them all at once.
+const TURN_HOLD: Duration = Duration::from_millis(500);
+/// Fractional part of the golden ratio, whose multiples spread evenly over 0 to 1.
+const GOLDEN: f64 = 0.618_033_988_749_895;
 
 /// Limits the requests to a target while it is cold.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ColdGate {
     cold_until: Duration,
-    tokens: f64,
-    filled_at: Duration,
+    /// Place of the next turn within a period, in 0 to 1.
+    place: f64,
+    /// When the next request may be sent; `None` before it is known how often.
+    turn_at: Option<Duration>,
 }
 
 impl ColdGate {
+    /// Creates the gate of a warm target; processes whose `place`, in 0 to 1, differs take their turns
+    /// at different times.
+    pub const fn new(place: f64) -> Self {
+        Self {
+            cold_until: Duration::ZERO,
+            place,
+            turn_at: None,
+        }
+    }
+
     /// Notes for how long the target stays cold from now on.
     pub fn set_cold(&mut self, left: Duration, now: Duration) {
-        // Processes start at different points of their turns, so that these do not coincide.
         if !self.is_cold(now) {
-            self.tokens = rand::rng().random_range(0.0..1.0);
-            self.filled_at = now;
+            self.turn_at = None;
         }
         self.cold_until = now + left;
     }
@@ -38,16 +51,28 @@
         if !self.is_cold(now) || rate_per_s <= 0.0 {
             return true;
         }
-        let elapsed_s = now.saturating_sub(self.filled_at).as_secs_f64();
-        self.filled_at = now;
-        self.tokens = (self.tokens + elapsed_s * rate_per_s * USED_PART).min(1.0);
-        self.tokens >= 1.0
+        let period = period(rate_per_s);
+        let is_over = |turn: Duration| period > TURN_HOLD && now > turn + TURN_HOLD;
+        let turn = match self.turn_at {
+            Some(turn) if !is_over(turn) => turn.min(now + period),
+            Some(_) | None => {
+                self.place = (self.place + GOLDEN).fract();
+                now + period.mul_f64(self.place)
+            }
+        };
+        self.turn_at = Some(turn);
+        now >= turn
     }
 
     /// Notes a request that is sent.
     pub fn spend(&mut self, rate_per_s: f64, now: Duration) {
         if self.is_cold(now) && rate_per_s > 0.0 {
-            self.tokens -= 1.0;
+            self.turn_at = Some(now + period(rate_per_s));
         }
     }
 }
+
+/// Returns the time between two requests of this process.
+fn period(rate_per_s: f64) -> Duration {
+    Duration::try_from_secs_f64(1.0 / (rate_per_s * USED_PART)).unwrap_or(Duration::MAX / 4)
+}
--- a/crates/limpet-gateway/src/target/one_target.rs
+++ b/crates/limpet-gateway/src/target/one_target.rs
@@ -56,7 +56,7 @@
 impl Target {
     /// Creates a target from its record.
     pub fn new(id: TargetId, record: &Arc<TargetRecord>, now: Duration) -> Self {
-        let mut cold = ColdGate::default();
+        let mut cold = ColdGate::new(rand::random());
         cold.set_cold(record.cold_left, now);
         Self {
             id,
