Spend the tokens of a team over its rate on requests that can meet their goal

Change: the times that callers state tell how long one has waited, since an attempt that comes back states only what is left. A request that can no longer meet its goal leaves a quarter of the burst to others. The log line of the refusal tells `is_late`.

Ruled out: the longest time ever stated (a few patient callers would make all others late), a smoothed quantile (did not recover from a patient first caller within 200 requests, seen in the test), holding requests until a token comes (the tokens would still go to the late ones in turn).

--- a/crates/limpet-gateway/src/board.rs
+++ b/crates/limpet-gateway/src/board.rs
@@ -15,6 +15,7 @@
 
 use arc_swap::ArcSwapOption;
 use limpet_decide::quarantine::StrikeTable;
+use limpet_types::deployment::Route;
 use tokio::sync::watch;
 
 use crate::{
@@ -23,13 +24,19 @@
     dialect::Dialect,
     latency::RouteLatency,
     members::Roster,
-    rate::Ledger,
+    rate::{
+        Ledger,
+        Patience, //
+    },
     settings::Settings,
     state::DeploymentState,
     table::RouteTable,
     target::Fleet, //
 };
 
+/// Patience of the callers of each team.
+type PatienceByTeam = HashMap<Box<str>, Patience>;
+
 /// Everything that the parts of a process share.
 #[derive(Debug)]
 pub struct Board {
@@ -51,6 +58,8 @@
     strikes: Mutex<StrikeTable>,
     budgets: Mutex<HashMap<Box<str>, RepeatBudget>>,
     latencies: Mutex<HashMap<Box<str>, RouteLatency>>,
+    /// Patience of each team's callers, by route.
+    patiences: Mutex<HashMap<Box<str>, PatienceByTeam>>,
 }
 
 /// Locks a field. A panic of another task leaves plain data behind, which stays usable.
@@ -79,6 +88,7 @@
             strikes: Mutex::new(StrikeTable::new()),
             budgets: Mutex::new(HashMap::new()),
             latencies: Mutex::new(HashMap::new()),
+            patiences: Mutex::new(HashMap::new()),
         }
     }
 
@@ -143,6 +153,21 @@
         apply(latencies.entry(route.into()).or_default())
     }
 
+    /// Returns whether a request that states how long its caller waits can no longer meet the goal of its
+    /// route, because the caller came back after a refusal.
+    pub fn is_late(&self, route: &Route, team: &str, stated: Duration) -> bool {
+        let waited = {
+            let mut patiences = lock(&self.patiences);
+            let by_team = patiences.entry(route.name.clone()).or_default();
+            let patience = by_team.entry(team.into()).or_default();
+            let waited = patience.waited(stated);
+            patience.note(stated);
+            waited
+        };
+        let mean = self.with_latency(&route.name, |latency| latency.mean());
+        waited + mean.unwrap_or_default() > route.latency_goal
+    }
+
     /// Puts the newest text in force.
     pub fn install_text(&self) {
         let text = self.state().text().cloned();
@@ -181,6 +206,7 @@
     fn trim(&self, table: &RouteTable) {
         let is_route = |name: &str| table.text().routes.iter().any(|r| &*r.name == name);
         lock(&self.latencies).retain(|name, _| is_route(name));
+        lock(&self.patiences).retain(|name, _| is_route(name));
         lock(&self.budgets).retain(|name, _| table.service(name).is_some());
     }
 
--- a/crates/limpet-gateway/src/front/handler.rs
+++ b/crates/limpet-gateway/src/front/handler.rs
@@ -204,14 +204,16 @@
         return Err(Refusal::not_run(RefusalReason::Quarantined));
     }
     if let Some(team) = &team {
+        let is_late = stated.is_some_and(|stated| board.is_late(&route, team, stated));
         let (admitted, presence) = {
             let mut ledger = board.ledger();
-            (ledger.admit(team, board.now()), ledger.presence())
+            let admitted = ledger.admit(team, is_late, board.now());
+            (admitted, ledger.presence())
         };
         admitted.map_err(|after| {
             tracing::info!(
                 request_id = request.request_id.to_str().unwrap_or("?"), %team,
-                retry_after_ms = after.as_millis(), processes = presence.processes,
+                retry_after_ms = after.as_millis(), is_late, processes = presence.processes,
                 silent = presence.silent, "no token of the team's rate"
             );
             Refusal::not_run(RefusalReason::OverRate).with_retry_after(after)
--- a/crates/limpet-gateway/src/rate/account.rs
+++ b/crates/limpet-gateway/src/rate/account.rs
@@ -15,6 +15,10 @@
 /// Time within which two requests of a team at one of many processes show a surge; two rounds of reports.
 const PRESSED_SPAN: Duration = Duration::from_millis(300);
 
+/// Part of the burst that is kept for requests that can still meet their goal, so that a team over its
+/// rate spends its tokens on answers in time.
+const TIMELY_PART: f64 = 0.25;
+
 /// Token bucket of one team. Every process holds the whole bucket and takes from it what the others
 /// report; while some are silent it refills only by the part that is certainly not theirs.
 #[derive(Clone, Debug)]
@@ -87,16 +91,22 @@
         is_surge || self.level < self.burst * PRESSED_LEVEL
     }
 
-    /// Admits one request, or tells after what time one may be admitted.
+    /// Admits one request, or tells after what time one may be admitted; one that `is_late` for its goal
+    /// leaves some tokens to others.
     ///
     /// # Errors
     ///
     /// The time until a token is there, if no other process takes it.
-    pub fn admit(&mut self, share: f64, now: Duration) -> Result<(), Duration> {
+    pub fn admit(&mut self, is_late: bool, share: f64, now: Duration) -> Result<(), Duration> {
         if self.is_limited() {
             self.refill(share, now);
-            if self.level < 1.0 {
-                let wait_s = (1.0 - self.level) / (self.rate_per_s * share).max(f64::MIN_POSITIVE);
+            let needed = match is_late {
+                true => (self.burst * share * TIMELY_PART).max(1.0),
+                false => 1.0,
+            };
+            if self.level < needed {
+                let rate_per_s = (self.rate_per_s * share).max(f64::MIN_POSITIVE);
+                let wait_s = (needed - self.level) / rate_per_s;
                 return Err(Duration::from_secs_f64(wait_s.clamp(0.0, 60.0)));
             }
             self.level -= 1.0;
--- a/crates/limpet-gateway/src/rate/ledger.rs
+++ b/crates/limpet-gateway/src/rate/ledger.rs
@@ -136,12 +136,12 @@
         self.presence
     }
 
-    /// Admits one request of a team.
+    /// Admits one request of a team; `is_late` tells that it cannot meet its goal any more.
     ///
     /// # Errors
     ///
     /// The time after which the team may have a token again.
-    pub fn admit(&mut self, team: &str, now: Duration) -> Result<(), Duration> {
+    pub fn admit(&mut self, team: &str, is_late: bool, now: Duration) -> Result<(), Duration> {
         let share = self.presence.share();
         let Some(account) = self.accounts.get_mut(team) else {
             return Ok(());
@@ -152,7 +152,9 @@
             .processes
             .saturating_sub(self.presence.silent)
             .max(1) as u32;
-        account.admit(share, now).map_err(|wait| wait * heard)
+        account
+            .admit(is_late, share, now)
+            .map_err(|wait| wait * heard)
     }
 
     /// Returns the sums of this process that changed since a time.
--- a/crates/limpet-gateway/src/rate/mod.rs
+++ b/crates/limpet-gateway/src/rate/mod.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod ledger;
+mod patience;
 
 pub use self::{
     account::Account,
@@ -12,4 +13,5 @@
         TeamCount,
         TeamLevel, //
     },
+    patience::Patience,
 };
--- a/crates/limpet-gateway/tests/rate.rs
+++ b/crates/limpet-gateway/tests/rate.rs
@@ -102,7 +102,7 @@
         let mut sum = 0;
         for (ledger, demand) in ledgers.iter_mut().zip(&course.demand) {
             sum += (0..*demand)
-                .filter(|_| ledger.admit("team", now).is_ok())
+                .filter(|_| ledger.admit("team", false, now).is_ok())
                 .count();
         }
         admitted.push(sum);
@@ -185,7 +185,7 @@
     low.burst = 2.0;
     ledger.set_teams([low].iter(), Duration::ZERO);
     let admitted = (0..50)
-        .filter(|_| ledger.admit("team", Duration::ZERO).is_ok())
+        .filter(|_| ledger.admit("team", false, Duration::ZERO).is_ok())
         .count();
     assert_eq!(admitted, 2);
 }
@@ -196,9 +196,9 @@
     let mut ledger = Ledger::new(true);
     ledger.set_teams([team(RATE_PER_S)].iter(), Duration::ZERO);
     let wait = (0..200)
-        .find_map(|_| ledger.admit("team", Duration::ZERO).err())
+        .find_map(|_| ledger.admit("team", false, Duration::ZERO).err())
         .unwrap();
-    assert!(ledger.admit("team", wait).is_ok());
+    assert!(ledger.admit("team", false, wait).is_ok());
 }
 
 fn sums(is_complete: bool, admitted: &[(&str, u64)]) -> Sums {
@@ -219,7 +219,7 @@
         ledger.report(7, sums, Duration::ZERO, Duration::ZERO);
     }
     (0..100)
-        .filter(|_| ledger.admit("team", Duration::ZERO).is_ok())
+        .filter(|_| ledger.admit("team", false, Duration::ZERO).is_ok())
         .count()
 }
 
@@ -343,7 +343,7 @@
         let first = tick * wanted;
         let asked = (first..first + wanted).map(|request| request * 7 % Self::PROCESSES);
         asked
-            .filter(|index| ledgers[*index].admit("team", now).is_ok())
+            .filter(|index| ledgers[*index].admit("team", false, now).is_ok())
             .count()
     }
 }
@@ -394,7 +394,7 @@
     let mut there = Ledger::new(true);
     there.set_teams([team(RATE_PER_S)].iter(), Duration::ZERO);
     for _ in 0..30 {
-        there.admit("team", Duration::ZERO).unwrap();
+        there.admit("team", false, Duration::ZERO).unwrap();
     }
     let levels = there.levels(Duration::ZERO);
     for knows_teams in [false, true] {
@@ -405,7 +405,7 @@
         joining.adopt_levels(&levels, Duration::ZERO);
         joining.set_teams([team(RATE_PER_S)].iter(), Duration::ZERO);
         let admitted = (0..100)
-            .filter(|_| joining.admit("team", Duration::ZERO).is_ok())
+            .filter(|_| joining.admit("team", false, Duration::ZERO).is_ok())
             .count();
         assert_eq!(admitted, 10);
     }
