Close after a refusal only if many callers are connected

Change: after a refusal that did not run the connection closes only if more than a quarter of the connections for which there is room are open.

Ruled out: never closing, since then one process held 2,036 descriptors and 37 MB while a team pressed.

--- a/crates/limpet-gateway/src/board.rs
+++ b/crates/limpet-gateway/src/board.rs
@@ -34,6 +34,10 @@
     target::Fleet, //
 };
 
+/// Part of the connections of callers, as a divisor, up to which those of refused callers stay open: with
+/// fewer a caller is better served on its old one, since a new one may meet a machine that is down.
+const REFUSED_PART: usize = 4;
+
 /// Patience of the callers of each team.
 type PatienceByTeam = HashMap<Box<str>, Patience>;
 
@@ -240,6 +244,13 @@
         self.is_draining() || self.caller_connections() > self.settings.caller_connections_max
     }
 
+    /// Returns whether callers are asked to close after a refusal that did not run: they come back on a
+    /// new connection, and many of the old ones are open.
+    pub fn closes_refused(&self) -> bool {
+        let limit = self.settings.caller_connections_max / REFUSED_PART;
+        self.closes_callers() || self.caller_connections() > limit
+    }
+
     /// Returns whether the process can serve.
     pub fn is_ready(&self) -> bool {
         !self.is_draining() && self.table.load().is_some() && self.state().has_targets()
--- a/crates/limpet-gateway/src/front/respond.rs
+++ b/crates/limpet-gateway/src/front/respond.rs
@@ -27,14 +27,13 @@
     target::TargetReply, //
 };
 
-/// Builds the response to a caller; after a refusal that did not run, and in a process that stops or
-/// has too many connections, the connection closes.
+/// Builds the response to a caller; a process that stops, or has too many connections, closes the
+/// connection after it.
 pub(super) fn respond(
     board: &Board,
     request_id: Option<HeaderValue>,
     outcome: Outcome,
 ) -> Response<Full<Bytes>> {
-    // Callers come back on a new connection after such a refusal; the old one would only stay idle.
     let is_not_run = matches!(&outcome, Err(refusal) if promises_not_run(refusal.status()));
     let mut response = match outcome {
         Ok(Answer::Reply(reply)) => unchanged(&board.dialect, reply),
@@ -49,7 +48,11 @@
     if let Some(id) = request_id {
         headers.insert(&board.dialect.request_id, id);
     }
-    if is_not_run || board.closes_callers() {
+    let closes = match is_not_run {
+        true => board.closes_refused(),
+        false => board.closes_callers(),
+    };
+    if closes {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
