Count the log lines that are dropped and say so

Change: the log of the process moves from the adapter to the product (limpet-gateway log).

Ruled out: a line for each dropped line (it would be dropped as well) and blocking writes.

Before: no such line or counter. After: log.rs blocks the output, writes 100 lines over a limit of 8 and finds the number of missing lines in the one report.

--- a/crates/limpet-gateway/src/lib.rs
+++ b/crates/limpet-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod gateway;
 pub mod latency;
+pub mod log;
 pub mod members;
 pub mod query;
 pub mod rate;
--- /dev/null
+++ b/crates/limpet-gateway/tests/log.rs
@@ -0,0 +1,80 @@
+//! A log whose output does not keep up.
+
+use std::{
+    io::Write,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use limpet_gateway::log::Log;
+use tracing_subscriber::EnvFilter;
+
+/// Output that blocks while the test holds its lock.
+#[derive(Clone, Default)]
+struct Output(Arc<Mutex<Vec<u8>>>);
+
+impl Output {
+    fn lock(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.0.lock().unwrap()
+    }
+}
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.lock().write(bytes)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a log that holds up requests, and against lines that are missing without a word.
+#[test]
+fn lines_beyond_the_limit_are_dropped_and_counted() {
+    const LINES_MAX: usize = 8;
+    const LINES: usize = 100;
+    let output = Output::default();
+    let log = Log::start(EnvFilter::new("info"), output.clone(), LINES_MAX);
+    let mut dropped = log.dropped();
+    {
+        let _blocked = output.lock();
+        let started = Instant::now();
+        for line in 0..LINES {
+            tracing::info!(line, "busy");
+        }
+        assert!(
+            started.elapsed() < Duration::from_secs(1),
+            "logging blocked"
+        );
+    }
+    // The waiting lines must be out before the report, or it is dropped as well.
+    let end = Instant::now() + Duration::from_secs(5);
+    while output.lock().iter().filter(|byte| **byte == b'\n').count() < LINES_MAX {
+        assert!(Instant::now() < end, "the waiting lines are not written");
+    }
+    dropped.report();
+    dropped.report();
+    drop(log);
+    let text = String::from_utf8(output.lock().clone()).unwrap();
+    let written = text.lines().filter(|line| line.contains("busy")).count();
+    let reports: Vec<&str> = text
+        .lines()
+        .filter(|l| l.contains("log lines dropped"))
+        .collect();
+    assert_eq!(reports.len(), 1, "{text}");
+    let missing = LINES - written;
+    assert!(missing > 0);
+    assert!(
+        reports[0].contains(&format!("\"lines\":{missing},")),
+        "{}",
+        reports[0]
+    );
+}
