--- a/crates/limpet-gateway/src/target/connection.rs
+++ b/crates/limpet-gateway/src/target/connection.rs
@@ -1,4 +1,4 @@
-//! One HTTP/1.1 connection to one target.
+//! One HTTP/1.1 connection as a client, to a target or to what the adapter reads.
 
 use std::{
     net::SocketAddr,
@@ -39,7 +39,8 @@
     TargetReply, //
 };
 
-/// Largest body of a reply; the largest that the users state is some ten kilobytes.
+/// Largest body of a reply; the largest that the users state are some ten kilobytes of a target and
+/// 1 MB of their store, in base64.
 const BODY_MAX_BYTES: usize = 8 << 20;
 /// Idle time after which a connection is not used again if the target states no limit.
 const IDLE_DEFAULT: Duration = Duration::from_secs(4);
@@ -98,7 +99,7 @@
         let (sender, connection) = handshake.await.map_err(|error| fail(&error))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
-                tracing::debug!(%addr, %error, "target connection ended");
+                tracing::debug!(%addr, %error, "connection ended");
             }
         });
         Ok(Self {
