Answer requests that outlast the stop of their process

Change: 0.1 s before that the requests that still run are given up and answered with 502 ("stopped"), since they may have run.

--- a/crates/limpet-gateway/src/board.rs
+++ b/crates/limpet-gateway/src/board.rs
@@ -53,6 +53,7 @@
     /// Routes, keys and teams in force; `None` before the first text.
     pub table: ArcSwapOption<RouteTable>,
     is_draining: AtomicBool,
+    has_ended: watch::Sender<bool>,
     caller_connections: AtomicUsize,
     revision: watch::Sender<u64>,
     state: Mutex<DeploymentState>,
@@ -83,6 +84,7 @@
             clock: Clock::new(),
             table: ArcSwapOption::empty(),
             is_draining: AtomicBool::new(false),
+            has_ended: watch::Sender::new(false),
             caller_connections: AtomicUsize::new(0),
             revision: watch::Sender::new(0),
             state: Mutex::new(state),
@@ -224,6 +226,18 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
+    /// Gives up the requests that are still running.
+    pub fn end_requests(&self) {
+        self.has_ended.send_replace(true);
+    }
+
+    /// Waits until the process gives up its requests.
+    pub async fn requests_ended(&self) {
+        let mut has_ended = self.has_ended.subscribe();
+        // The sender is a part of this blackboard, so it is there.
+        let _ = has_ended.wait_for(|has_ended| *has_ended).await;
+    }
+
     /// Notes an open connection of a caller.
     pub fn note_caller_opened(&self) {
         self.caller_connections.fetch_add(1, Ordering::Relaxed);
--- a/crates/limpet-gateway/src/front/handler.rs
+++ b/crates/limpet-gateway/src/front/handler.rs
@@ -77,7 +77,10 @@
     let (head, body) = request.into_parts();
     let request_id = head.headers.get(&board.dialect.request_id).cloned();
     let mut trace = Trace::default();
-    let outcome = run(&board, head, body, arrived, &mut trace).await;
+    let outcome = tokio::select! {
+        outcome = run(&board, head, body, arrived, &mut trace) => outcome,
+        () = board.requests_ended() => Err(Refusal::maybe_run(RefusalReason::Stopped)),
+    };
     let took = arrived.elapsed();
     let label = match &outcome {
         Ok(_) => "answered",
--- a/crates/limpet-gateway/src/front/server.rs
+++ b/crates/limpet-gateway/src/front/server.rs
@@ -25,6 +25,7 @@
         JoinHandle,
         JoinSet, //
     },
+    time::timeout,
 };
 
 use super::handler::handle;
@@ -38,6 +39,9 @@
 const HEAD_DEFAULT_BYTES: usize = 16 << 10;
 const IDLE_DEFAULT: Duration = Duration::from_secs(15);
 
+/// Time for the answers to requests that are given up at the end, and for callers to read them.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+
 /// How far the server has come in its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -48,6 +52,7 @@
 /// A running server.
 #[derive(Debug)]
 pub struct FrontServer {
+    board: Arc<Board>,
     stage: watch::Sender<Stage>,
     accepting: JoinHandle<()>,
     local_addr: SocketAddr,
@@ -59,13 +64,24 @@
         self.local_addr
     }
 
-    /// Stops accepting, closes idle connections and waits for requests in flight, at most `limit`.
+    /// Stops accepting, closes idle connections and waits for requests in flight, at most `limit`; those
+    /// that take longer are given up and answered.
     pub async fn stop(self, limit: Duration) {
+        // Without a receiver the server has ended already.
         let _ = self.stage.send(Stage::Closing);
-        let aborted = self.accepting.abort_handle();
-        if tokio::time::timeout(limit, self.accepting).await.is_err() {
-            tracing::warn!(limit_ms = limit.as_millis(), "requests were cut at the end");
-            aborted.abort();
+        let mut accepting = self.accepting;
+        let waiting = limit.saturating_sub(LAST_ANSWERS);
+        if timeout(waiting, &mut accepting).await.is_ok() {
+            return;
+        }
+        tracing::warn!(
+            limit_ms = limit.as_millis(),
+            "requests are given up at the end"
+        );
+        self.board.end_requests();
+        if timeout(limit - waiting, &mut accepting).await.is_err() {
+            tracing::warn!("connections were cut at the end");
+            accepting.abort();
         }
     }
 }
@@ -78,8 +94,9 @@
 pub fn serve(listener: TcpListener, board: Arc<Board>) -> std::io::Result<FrontServer> {
     let local_addr = listener.local_addr()?;
     let (stage, watching) = watch::channel(Stage::Serving);
-    let accepting = tokio::spawn(accept(listener, board, watching));
+    let accepting = tokio::spawn(accept(listener, Arc::clone(&board), watching));
     Ok(FrontServer {
+        board,
         stage,
         accepting,
         local_addr,
--- a/crates/limpet-gateway/src/query/outcome.rs
+++ b/crates/limpet-gateway/src/query/outcome.rs
@@ -38,6 +38,8 @@
     Broken,
     /// The time of the request is over.
     TimedOut,
+    /// The process ends before the request.
+    Stopped,
 }
 
 impl RefusalReason {
@@ -57,6 +59,7 @@
             Self::CoverageLow => "coverage_low",
             Self::Broken => "broken",
             Self::TimedOut => "timed_out",
+            Self::Stopped => "stopped",
         }
     }
 }
