Take only a refused connection for the crash of a target

Cause: after a broken connection the check for a crash opened a new one, and any failure of that counted, also a reset by a target over its limit of connections or a silence.

Change: only a connection that is refused, because nobody listens, shows a crash. The check connects without a client.

Ruled out: waiting longer before the check; the targets reset for as long as they count the old connections.

After: poison.rs no_listener cases; that real crashes are still noticed is held by poison_request_is_refused_after_two_crashes.

--- a/crates/limpet-gateway/src/query/crash.rs
+++ b/crates/limpet-gateway/src/query/crash.rs
@@ -1,27 +1,36 @@
 //! Whether a target crashed under a request.
 
 use std::{
+    io::ErrorKind,
     sync::Arc,
     time::Duration, //
 };
 
 use limpet_types::hash::stable_hash_parts;
-use tokio::time::{
-    Instant,
-    sleep, //
+use tokio::{
+    net::TcpStream,
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 use super::QueryContext;
-use crate::target::{
-    Connection,
-    Target, //
-};
+use crate::target::Target;
 
 /// Time between a broken connection and the check whether the target still listens.
 const CHECK_DELAY: Duration = Duration::from_millis(30);
 /// Longest time for the check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Returns whether a failed connection shows that nobody listens.
+///
+/// A target that resets connections has too many of them, and one that is silent may be cut off: neither
+/// crashed.
+pub const fn is_no_listener(error: ErrorKind) -> bool {
+    matches!(error, ErrorKind::ConnectionRefused)
+}
+
 /// Checks after a broken connection whether the target is gone.
 ///
 /// A lost reply also breaks the connection, but leaves the target up; only a target that no longer
@@ -36,9 +45,9 @@
     let request_id: Box<str> = query.request_id().into();
     tokio::spawn(async move {
         sleep(CHECK_DELAY).await;
-        let opened = Connection::open(target.addr, Instant::now() + CHECK_TIMEOUT).await;
+        let opened = timeout(CHECK_TIMEOUT, TcpStream::connect(target.addr)).await;
         target.end_crash_check();
-        if opened.is_ok() {
+        if !matches!(&opened, Ok(Err(error)) if is_no_listener(error.kind())) {
             return;
         }
         let now = board.now();
--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -10,6 +10,7 @@
 mod single;
 
 pub use self::{
+    crash::is_no_listener,
     gather::run_gather,
     merge::greatest_records,
     outcome::{
--- a/crates/limpet-gateway/tests/poison.rs
+++ b/crates/limpet-gateway/tests/poison.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::Method;
+use limpet_gateway::query::is_no_listener;
 use limpet_types::deployment::Repeat;
 use support::{
     Behaviour,
@@ -42,6 +43,24 @@
     (RunningGateway::start(&deployment).await, started)
 }
 
+// Guards against suspecting requests whose target only resets connections over its limit, or is cut off.
+macro_rules! no_listener {
+    ($($name:ident => $error:ident, $is_gone:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(is_no_listener(std::io::ErrorKind::$error), $is_gone);
+            }
+        )+
+    };
+}
+
+no_listener! {
+    refused_connection_shows_a_crash => ConnectionRefused, true;
+    reset_connection_shows_no_crash => ConnectionReset, false;
+    silent_connection_shows_no_crash => TimedOut, false;
+}
+
 /// Guards against a request that takes down one target after the other.
 #[tokio::test]
 async fn poison_request_is_refused_after_two_crashes() {
