Tell the true age of an adopted state, start from the newest one, and press less on a failing source

Now the age and the time to which it refers are kept. - A late reply with a lower revision could bring back a removed target. Such an update is ignored as a whole. - A process that started while the source did not answer it took the state of the first process that it asked, however old. It asks five now and takes the newest. - Every process that found the candidates outdated asked the source each 150 to 300 ms for as long as the source failed. All but the candidates now double the delay up to a second, and stay with another current process that they found before they ask the source. - A read of the whole state had 1.5 s for all of its pages, too little for a slow source: 5 s now.

--- a/crates/limpet-gateway/src/deployment_state.rs
+++ b/crates/limpet-gateway/src/deployment_state.rs
@@ -32,6 +32,21 @@
     pub has_target_changes: bool,
 }
 
+/// Age of a state at a point in time. The state may have been verified before this process started.
+#[derive(Clone, Copy, Debug)]
+struct KnownAge {
+    age: Duration,
+    /// Time since the start of the process to which the age refers.
+    as_of: Duration,
+}
+
+impl KnownAge {
+    /// Returns the age at a later time.
+    fn at(self, now: Duration) -> Duration {
+        self.age.saturating_add(now.saturating_sub(self.as_of))
+    }
+}
+
 /// State of the deployment at one revision.
 ///
 /// Revisions only increase: older changes are ignored, whether they come from the source or another process.
@@ -53,9 +68,8 @@
     change_log: VecDeque<VersionedChange>,
     /// Revision after which the change log is complete.
     change_log_start: u64,
-    /// Latest time, counted from the start of the process, at which this state was known to be the latest of
-    /// the deployment.
-    verified_at: Option<Duration>,
+    /// How old this state was at a point in time; `None` if it was never known to be the latest one.
+    known_age: Option<KnownAge>,
     /// Time since the start of the process at which the source failed last.
     source_failed_at: Option<Duration>,
     /// Time for which a target stays in use after its record lapsed around an outage of the source.
@@ -75,7 +89,7 @@
             disabled_zones: BTreeMap::new(),
             change_log: VecDeque::new(),
             change_log_start: 0,
-            verified_at: None,
+            known_age: None,
             source_failed_at: None,
             lapse_grace,
         }
@@ -108,8 +122,7 @@
 
     /// Returns the time since this state was last known to be the deployment's latest, if it ever was.
     pub fn age(&self, now: Duration) -> Option<Duration> {
-        self.verified_at
-            .map(|verified_at| now.saturating_sub(verified_at))
+        self.known_age.map(|known_age| known_age.at(now))
     }
 
     /// Records that the source did not answer, so that targets whose records lapse soon after are kept for
@@ -122,10 +135,11 @@
     /// update refers.
     pub fn apply(&mut self, update: &StateUpdate, as_of: Duration, now: Duration) -> UpdateEffect {
         let mut effect = UpdateEffect::default();
+        // A late reply: applying it could bring back what was removed since.
+        if update.revision < self.revision {
+            return effect;
+        }
         if update.is_full_state {
-            if update.revision < self.revision {
-                return effect;
-            }
             effect.has_target_changes |= self.remove_missing(update, now);
             self.change_log.clear();
             self.change_log_start = update.revision;
@@ -133,14 +147,29 @@
         for versioned in &update.changes {
             self.apply_change(versioned, &mut effect, now);
         }
-        if update.revision >= self.revision {
-            self.revision = update.revision;
-            let verified_at = as_of.saturating_sub(update.age);
-            self.verified_at = self.verified_at.max(Some(verified_at));
-        }
+        self.record_age(update, as_of);
+        self.revision = update.revision;
         effect
     }
 
+    /// Records the age of an update, unless this state is known to be younger or the sender never knew how old
+    /// its own was.
+    fn record_age(&mut self, update: &StateUpdate, as_of: Duration) {
+        if update.age == Duration::MAX {
+            return;
+        }
+        let age = KnownAge {
+            age: update.age,
+            as_of,
+        };
+        let is_younger = self
+            .known_age
+            .is_none_or(|known_age| age.at(as_of) <= known_age.at(as_of));
+        if is_younger {
+            self.known_age = Some(age);
+        }
+    }
+
     /// Returns the changes after a revision, or the whole state if the revision is 0, lies before the start
     /// of the change log or is newer than this state.
     pub fn update_since(&self, after: u64, now: Duration) -> StateUpdate {
--- a/crates/limpet-gateway/src/state_updater.rs
+++ b/crates/limpet-gateway/src/state_updater.rs
@@ -4,11 +4,13 @@
 //! reader.
 
 use std::{
+    cmp::Reverse,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
 
+use futures::future::join_all;
 use limpet_peer::PeerClient;
 use limpet_types::{
     deployment::StateUpdate,
@@ -18,7 +20,10 @@
         PeerRequest, //
     },
 };
-use rand::Rng;
+use rand::{
+    Rng,
+    seq::SliceRandom, //
+};
 use tokio::time::{
     sleep,
     timeout, //
@@ -46,8 +51,15 @@
 const CURRENT_AGE_MAX: Duration = Duration::from_millis(1600);
 /// Delay after a reply of the source with changes, so that the next reply holds several changes at once.
 const BATCH_DELAY: Duration = Duration::from_millis(120);
+/// Timeout of a read of the whole state, which takes many calls.
+const FULL_READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed read of the source; up to the same again is added as jitter.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
+const RETRY_DELAY_MIN: Duration = Duration::from_millis(150);
+/// Longest delay of a process that the others do not try to follow. Such a process may wait longer: once the
+/// source answers again, it gets the state from the first ones that notice.
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(1000);
+/// Number of processes that a process without any state asks for theirs.
+const START_PEERS_MAX: usize = 5;
 
 /// Whether the source answered the latest read or watch of this process; kept so that only a change of the
 /// status is logged, not each call.
@@ -73,6 +85,10 @@
     /// Whether the source no longer has the changes after the revision of this process, so that the whole
     /// state must be read.
     needs_full_read: bool,
+    /// Delay after the next failed read of the source, without jitter.
+    retry_delay: Duration,
+    /// Process that was current when it was followed last, other than the candidates of all processes.
+    current_peer: Option<SocketAddr>,
 }
 
 impl StateUpdater {
@@ -84,24 +100,84 @@
             peer_client: PeerClient::new(),
             source_status: SourceStatus::Unknown,
             needs_full_read: false,
+            retry_delay: RETRY_DELAY_MIN,
+            current_peer: None,
         }
     }
 
     /// Runs until the future is dropped.
     pub async fn run(mut self) {
         loop {
-            if self.follow_reader().await || self.read_source().await {
+            if self.shared.deployment_state().revision() == 0 {
+                self.adopt_newest_state().await;
+            }
+            if self.follow_reader().await
+                || self.follow_current_peer().await
+                || self.read_source().await
+            {
+                self.retry_delay = RETRY_DELAY_MIN;
                 continue;
             }
             // The source does not answer this process, but another process may have a later state.
-            if let Some(peer) = self.random_peer() {
-                self.follow(peer, Duration::ZERO).await;
+            if let Some(peer) = self.random_peer()
+                && self.follow(peer, Duration::ZERO).await
+            {
+                self.current_peer = Some(peer);
+                continue;
             }
             let jitter = rand::rng().random_range(0.0..1.0);
-            sleep(RETRY_DELAY + RETRY_DELAY.mul_f64(jitter)).await;
+            sleep(self.retry_delay + self.retry_delay.mul_f64(jitter)).await;
+            self.retry_delay = match self.is_reader_candidate() {
+                true => RETRY_DELAY_MIN,
+                false => (self.retry_delay * 2).min(RETRY_DELAY_MAX),
+            };
+        }
+    }
+
+    /// Asks several processes at once for their state, and applies the newest of the replies.
+    ///
+    /// A process that has just started must not begin with a state that is older than what the others already
+    /// act on: a single other process may have missed changes.
+    async fn adopt_newest_state(&mut self) {
+        let mut peers = self.live_peers();
+        peers.shuffle(&mut rand::rng());
+        peers.truncate(START_PEERS_MAX);
+        let asked_at = self.shared.now();
+        let replies = join_all(
+            peers
+                .iter()
+                .map(|peer| self.request_update(*peer, Duration::ZERO)),
+        );
+        let updates = replies.await.into_iter().flatten();
+        let newest = updates.max_by_key(|update| (update.revision, Reverse(update.age)));
+        if let Some(update) = newest.filter(|update| update.revision > 0) {
+            tracing::info!(
+                revision = update.revision,
+                age_ms = update.age.as_millis() as u64,
+                asked = peers.len(),
+                "state adopted from another process at the start"
+            );
+            apply_update(&self.shared, &update, asked_at);
         }
     }
 
+    /// Follows the process that was current last, if no candidate of all processes is.
+    async fn follow_current_peer(&mut self) -> bool {
+        let Some(peer) = self.current_peer.take() else {
+            return false;
+        };
+        let is_current = self.follow(peer, FOLLOW_WAIT).await;
+        self.current_peer = is_current.then_some(peer);
+        is_current
+    }
+
+    /// Returns whether this process is one of those that the others try to follow.
+    fn is_reader_candidate(&self) -> bool {
+        let live_addrs = self.shared.membership().live_addrs(self.shared.now());
+        let mut candidates = live_addrs.into_iter().take(READER_CANDIDATES_MAX);
+        candidates.any(|addr| addr == self.shared.settings.peer_addr)
+    }
+
     /// Follows the first process that is current among the live ones with the lowest addresses; returns false
     /// if this process has to read the source.
     ///
@@ -121,39 +197,50 @@
         false
     }
 
-    /// Returns the address of a random other live process, or `None` if there is none.
-    fn random_peer(&self) -> Option<SocketAddr> {
-        let now = self.shared.now();
+    /// Returns the addresses of the other live processes.
+    fn live_peers(&self) -> Vec<SocketAddr> {
         let own_addr = self.shared.settings.peer_addr;
-        let mut live_addrs = self.shared.membership().live_addrs(now);
+        let mut live_addrs = self.shared.membership().live_addrs(self.shared.now());
         live_addrs.retain(|addr| *addr != own_addr);
-        let index = rand::rng().random_range(0..live_addrs.len().max(1));
-        live_addrs.get(index).copied()
+        live_addrs
     }
 
-    /// Asks another process for changes, and applies them; returns whether that process is current.
+    /// Returns the address of a random other live process, or `None` if there is none.
+    fn random_peer(&self) -> Option<SocketAddr> {
+        let peers = self.live_peers();
+        let index = rand::rng().random_range(0..peers.len().max(1));
+        peers.get(index).copied()
+    }
+
+    /// Asks another process for changes; returns `None` if it does not answer.
     ///
     /// The other process delays its reply by up to `wait_max` while nothing changes.
-    async fn follow(&mut self, peer: SocketAddr, wait_max: Duration) -> bool {
-        let requested_at = self.shared.now();
+    async fn request_update(&self, peer: SocketAddr, wait_max: Duration) -> Option<StateUpdate> {
         let request = PeerRequest::Follow(FollowRequest {
             after_revision: self.shared.deployment_state().revision(),
             wait_max,
         });
-        let update = match self
+        let reply = self
             .peer_client
-            .call(peer, &request, wait_max + REPLY_TIMEOUT)
-            .await
-        {
-            Ok(PeerReply::Follow(update)) => update,
+            .call(peer, &request, wait_max + REPLY_TIMEOUT);
+        match reply.await {
+            Ok(PeerReply::Follow(update)) => Some(update),
             Ok(_) => {
                 tracing::warn!(%peer, "process does not support follow requests");
-                return false;
+                None
             }
             Err(error) => {
                 tracing::info!(%peer, %error, "process cannot be followed");
-                return false;
+                None
             }
+        }
+    }
+
+    /// Asks another process for changes, and applies them; returns whether that process is current.
+    async fn follow(&mut self, peer: SocketAddr, wait_max: Duration) -> bool {
+        let requested_at = self.shared.now();
+        let Some(update) = self.request_update(peer, wait_max).await else {
+            return false;
         };
         let is_current = update.age <= CURRENT_AGE_MAX;
         if !is_current {
@@ -181,7 +268,11 @@
             true => (self.source.read)(),
             false => (self.source.watch)(revision, WATCH_WAIT),
         };
-        let result = timeout(WATCH_WAIT + REPLY_TIMEOUT, reply).await;
+        let reply_timeout = match is_full_read {
+            true => FULL_READ_TIMEOUT,
+            false => WATCH_WAIT + REPLY_TIMEOUT,
+        };
+        let result = timeout(reply_timeout, reply).await;
         let context = match result {
             Ok(Ok(update)) => {
                 self.needs_full_read = false;
--- a/crates/limpet-gateway/tests/deployment_state.rs
+++ b/crates/limpet-gateway/tests/deployment_state.rs
@@ -196,3 +196,66 @@
     follower.apply(&reply, at(1000), at(1010));
     assert_eq!(follower.age(at(1100)), Some(at(400)));
 }
+
+/// Guards against a process that takes an outdated state for a current one because it started only after that
+/// state was last verified.
+#[test]
+fn state_may_be_older_than_the_process() {
+    let mut state = DeploymentState::new(LAPSE_GRACE);
+    let outdated = StateUpdate {
+        age: at(30_000),
+        ..update(true, 2, vec![config_changed(1, 1)])
+    };
+    state.apply(&outdated, at(500), at(500));
+    assert_eq!(state.age(at(600)), Some(at(30_100)));
+    assert_eq!(state.update_since(2, at(700)).age, at(30_200));
+}
+
+/// Guards against a process without state that counts as current after it followed another one without state.
+#[test]
+fn state_of_a_process_without_state_has_no_age() {
+    let without_state = DeploymentState::new(LAPSE_GRACE);
+    let mut state = DeploymentState::new(LAPSE_GRACE);
+    state.apply(&without_state.update_since(0, at(300)), at(300), at(300));
+    assert_eq!(state.age(at(400)), None);
+    state.apply(
+        &update(true, 2, vec![config_changed(1, 1)]),
+        at(500),
+        at(500),
+    );
+    state.apply(&without_state.update_since(0, at(600)), at(600), at(600));
+    assert_eq!(state.age(at(700)), Some(at(200)));
+}
+
+/// Guards against an older age of the same state that replaces a younger one.
+#[test]
+fn youngest_age_of_a_state_counts() {
+    let mut state = DeploymentState::new(LAPSE_GRACE);
+    state.apply(
+        &update(true, 2, vec![config_changed(1, 1)]),
+        at(100),
+        at(100),
+    );
+    let older = StateUpdate {
+        age: at(900),
+        ..update(false, 2, Vec::new())
+    };
+    state.apply(&older, at(400), at(400));
+    assert_eq!(state.age(at(500)), Some(at(400)));
+}
+
+/// Guards against a late update that brings back a target that was removed since.
+#[test]
+fn late_update_does_not_bring_back_a_removed_target() {
+    let mut state = DeploymentState::new(LAPSE_GRACE);
+    state.apply(&update(true, 2, vec![target_added(1, "a")]), at(0), at(0));
+    state.apply(
+        &update(false, 4, vec![target_removed(4, "a")]),
+        at(1),
+        at(1),
+    );
+    let effect = state.apply(&update(false, 3, vec![target_added(3, "a")]), at(2), at(2));
+    assert!(!effect.has_target_changes);
+    assert!(target_ids(&state).is_empty());
+    assert_eq!(state.revision(), 4);
+}
--- a/crates/limpet-gateway/tests/follower.rs
+++ b/crates/limpet-gateway/tests/follower.rs
@@ -3,13 +3,26 @@
 mod support;
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
 
-use limpet_types::deployment::{
-    Change,
-    Idempotency, //
+use limpet_gateway::{
+    members::Report,
+    rate::AdmissionCounts, //
+};
+use limpet_peer::PeerServer;
+use limpet_types::{
+    codec,
+    deployment::{
+        Change,
+        Config,
+        Idempotency,
+        StateUpdate,
+        VersionedChange, //
+    },
+    message::PeerReply,
 };
 use support::{
     Behaviour,
@@ -24,9 +37,16 @@
     target_record,
     unused_loopback_ip, //
 };
-use tokio::time::{
-    Instant,
-    sleep, //
+use tokio::{
+    net::{
+        TcpListener,
+        UdpSocket, //
+    },
+    task::JoinHandle,
+    time::{
+        Instant,
+        sleep, //
+    },
 };
 
 /// Time within which every process must apply a change.
@@ -131,3 +151,130 @@
     gateway.wait_ready().await;
     assert_eq!(get(gateway.caller_addr, "/one/a").await.status, 200);
 }
+
+/// A process that reports to another one and always answers it with the same state.
+struct FakePeer {
+    _server: PeerServer,
+    report_task: JoinHandle<()>,
+}
+
+impl Drop for FakePeer {
+    fn drop(&mut self) {
+        self.report_task.abort();
+    }
+}
+
+impl FakePeer {
+    /// Starts a peer at `ip` whose state holds `config` and was verified `age` ago.
+    async fn start_at(
+        ip: &str,
+        config: Config,
+        target: SocketAddr,
+        age: Duration,
+        report_to: SocketAddr,
+    ) -> Self {
+        let listener = TcpListener::bind((ip, PEER_PORT)).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let revision = config.version * 10;
+        let target = Change::Target("t".into(), Arc::new(target_record("s", target)));
+        let changes = [Change::Config(Arc::new(config)), target];
+        let update = StateUpdate {
+            is_full_state: true,
+            revision,
+            changes: changes
+                .map(|change| VersionedChange { revision, change })
+                .to_vec(),
+            age,
+        };
+        let server = limpet_peer::serve(listener, move |_| {
+            let reply = PeerReply::Follow(update.clone());
+            async move { reply }
+        });
+        let socket = UdpSocket::bind(addr).await.unwrap();
+        let report = Report {
+            node: rand::random(),
+            addr,
+            is_leaving: false,
+            admissions: AdmissionCounts {
+                is_complete: true,
+                teams: Vec::new(),
+            },
+            welcome: None,
+            known_addrs: Vec::new(),
+            strikes: Vec::new(),
+        };
+        let report = codec::encode(&report).unwrap();
+        let report_task = tokio::spawn(async move {
+            loop {
+                let _ = socket.send_to(&report, report_to).await;
+                sleep(Duration::from_millis(20)).await;
+            }
+        });
+        Self {
+            _server: server,
+            report_task,
+        }
+    }
+}
+
+/// Guards against a process that starts with a state that most of the others have left behind long ago: a
+/// withdrawn key or a target that left would be in use again.
+#[tokio::test]
+async fn process_that_starts_without_its_source_takes_the_newest_state() {
+    let target = FakeTarget::always(Behaviour::Answer(200, b"good", Duration::ZERO)).await;
+    let settings = settings(&unused_loopback_ip(), PEER_PORT).await;
+    let outdated = config(
+        1,
+        vec![route("/one/", Idempotency::Idempotent, "s")],
+        &["s"],
+    );
+    let newest = config(
+        2,
+        vec![route("/two/", Idempotency::Idempotent, "s")],
+        &["s"],
+    );
+    let mut peers = Vec::new();
+    for _ in 0..4 {
+        let age = Duration::from_secs(60);
+        let ip = unused_loopback_ip();
+        let config = outdated.clone();
+        peers.push(FakePeer::start_at(&ip, config, target.addr, age, settings.peer_addr).await);
+    }
+    let age = Duration::from_secs(5);
+    let ip = unused_loopback_ip();
+    peers.push(FakePeer::start_at(&ip, newest, target.addr, age, settings.peer_addr).await);
+    let is_source_down = Arc::new(std::sync::Mutex::new(true));
+    let gateway =
+        RunningGateway::start_with_source_switch(settings, &Deployment::new(), is_source_down)
+            .await;
+    gateway.wait_ready().await;
+    assert_eq!(get(gateway.caller_addr, "/one/a").await.status, 404);
+    assert_eq!(get(gateway.caller_addr, "/two/a").await.status, 200);
+}
+
+/// Guards against a fleet that presses on a source in trouble: all but the few processes that the others follow
+/// ask it less and less often.
+#[tokio::test]
+async fn follower_asks_a_failing_source_rarely() {
+    let target = FakeTarget::always(Behaviour::Answer(200, b"good", Duration::ZERO)).await;
+    // The three candidates have lower addresses, and their state is outdated.
+    let peer_ips: Vec<String> = (0..3).map(|_| unused_loopback_ip()).collect();
+    let settings = settings(&unused_loopback_ip(), PEER_PORT).await;
+    let routes = vec![route("/one/", Idempotency::Idempotent, "s")];
+    let mut peers = Vec::new();
+    for ip in &peer_ips {
+        let config = config(1, routes.clone(), &["s"]);
+        let age = Duration::from_secs(60);
+        peers.push(FakePeer::start_at(ip, config, target.addr, age, settings.peer_addr).await);
+    }
+    let deployment = Deployment::new();
+    let is_source_down = Arc::new(std::sync::Mutex::new(true));
+    let gateway =
+        RunningGateway::start_with_source_switch(settings, &deployment, is_source_down).await;
+    gateway.wait_ready().await;
+    let calls_before = deployment.source_call_count();
+    sleep(Duration::from_secs(4)).await;
+    let call_count = deployment.source_call_count() - calls_before;
+    // Delays of at least 150, 300 and 600 ms, then a second each: 6 calls in 4 s, and one for the start.
+    assert!(call_count <= 7, "{call_count} calls in 4 s");
+}
--- a/crates/limpet-gateway/tests/support/deployment.rs
+++ b/crates/limpet-gateway/tests/support/deployment.rs
@@ -156,7 +156,8 @@
     changes: Arc<Mutex<Vec<VersionedChange>>>,
     /// Revision of the latest change.
     revision_sender: watch::Sender<u64>,
-    is_down: Arc<Mutex<bool>>,
+    /// Number of reads and watches of the source.
+    source_call_count: Arc<AtomicU32>,
 }
 
 impl Default for Deployment {
@@ -171,7 +172,7 @@
         Self {
             changes: Arc::default(),
             revision_sender: watch::Sender::new(0),
-            is_down: Arc::default(),
+            source_call_count: Arc::default(),
         }
     }
 
@@ -200,6 +201,7 @@
             (Arc::clone(is_source_down), Arc::clone(is_source_down));
         Source {
             read: Box::new(move || {
+                read_deployment.count_source_call();
                 let update = read_deployment.update_after(0, true);
                 let is_down = *is_read_down.lock().unwrap();
                 Box::pin(async move {
@@ -211,6 +213,7 @@
                 })
             }),
             watch: Box::new(move |after, wait| {
+                watch_deployment.count_source_call();
                 let deployment = watch_deployment.clone();
                 let is_down = *is_watch_down.lock().unwrap();
                 Box::pin(async move {
@@ -225,6 +228,15 @@
         }
     }
 
+    fn count_source_call(&self) {
+        self.source_call_count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of reads and watches of all sources of this deployment.
+    pub(crate) fn source_call_count(&self) -> u32 {
+        self.source_call_count.load(Ordering::Relaxed)
+    }
+
     /// Returns the changes after a revision.
     fn update_after(&self, after: u64, is_full_state: bool) -> StateUpdate {
         let changes = self.changes.lock().unwrap();
