--- /dev/null
+++ b/crates/limpet-decide/src/aggregator/mod.rs
@@ -0,0 +1,21 @@
+//! Decides where a scatter-gather query runs: at the process that received it, or at an aggregator, a process
+//! that gathers the parts for others and sends them one merged answer.
+//!
+//! Answers this load: hundreds of processes each get a query every few seconds and send each one to a hundred
+//! targets. Connections then idle out between two queries, parts cross zones, and a small processor handles a
+//! burst of a hundred replies at once. A few aggregators near the targets keep their connections warm. With
+//! few processes every connection is warm, and the second hop does not pay.
+
+mod directory;
+mod peer_ejection;
+mod query_rate;
+
+pub use self::{
+    directory::{
+        AggregatorChoice,
+        AggregatorDirectory,
+        AggregatorNode, //
+    },
+    peer_ejection::PeerEjection,
+    query_rate::QueryRate, //
+};
--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! benchmarked on its own. A point in time is a `Duration`: the time since boot on the clock of the
 //! process that makes the decision.
 
+pub mod aggregator;
 pub mod cold_share;
 pub mod fair;
 pub mod freshness;
@@ -18,6 +19,7 @@
 pub mod retry;
 pub mod revision;
 pub mod snapshot;
+pub mod spread;
 pub mod ticket;
 pub mod tokens;
 pub mod warmup;
--- /dev/null
+++ b/crates/limpet-decide/tests/aggregator.rs
@@ -0,0 +1,288 @@
+//! Placement of scatter-gather queries over fleets of many sizes.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    time::Duration,
+};
+
+use limpet_decide::aggregator::{
+    AggregatorChoice,
+    AggregatorDirectory,
+    AggregatorNode,
+    PeerEjection,
+    QueryRate, //
+};
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+
+const ZONES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+/// Number of choices in each simulation.
+const CHOICES: usize = 6000;
+
+fn addr(index: usize) -> SocketAddr {
+    let [_, b, c, d] = (index as u32).to_be_bytes();
+    SocketAddr::from(([10, b, c, d], 7102))
+}
+
+/// Returns a fleet in six zones in which one process in sixteen has four times the processor of the others.
+fn fleet(size: usize) -> AggregatorDirectory {
+    let mut directory = AggregatorDirectory::new();
+    for index in 0..size {
+        directory.insert(addr(index), node(index));
+    }
+    directory
+}
+
+fn node(index: usize) -> AggregatorNode {
+    AggregatorNode {
+        zone: ZONES[index % ZONES.len()].into(),
+        capacity_cores: if index / ZONES.len() % 16 == 0 {
+            0.5
+        } else {
+            0.12
+        },
+    }
+}
+
+/// Shares of the shards where each shard has a target in each of the first three zones.
+fn shares_of_three_zones() -> Vec<(Box<str>, f64)> {
+    ZONES[..3]
+        .iter()
+        .map(|zone| ((*zone).into(), 1.0))
+        .collect()
+}
+
+/// Chooses an aggregator for a query of the process with this index.
+fn choose(
+    directory: &mut AggregatorDirectory,
+    index: usize,
+    refused_by: &[SocketAddr],
+    is_usable: &dyn Fn(SocketAddr) -> bool,
+    rng: &mut ChaCha8Rng,
+) -> Option<SocketAddr> {
+    let shares = shares_of_three_zones();
+    directory.choose(&AggregatorChoice {
+        own_addr: addr(index),
+        own_zone: ZONES[index % ZONES.len()],
+        shard_shares: &shares,
+        is_usable,
+        refused_by,
+        zone_draw: rng.random_range(0.0..1.0),
+        draw: rng.random_range(0.0..1.0),
+    })
+}
+
+/// Returns how often each process is chosen when queries arrive everywhere alike.
+fn load(directory: &mut AggregatorDirectory, size: usize) -> BTreeMap<SocketAddr, usize> {
+    let mut rng = ChaCha8Rng::seed_from_u64(20);
+    let mut counts = BTreeMap::new();
+    for _ in 0..CHOICES {
+        let index = rng.random_range(0..size);
+        let chosen = choose(directory, index, &[], &|_| true, &mut rng);
+        *counts.entry(chosen.unwrap_or(addr(index))).or_default() += 1;
+    }
+    counts
+}
+
+limpet_testkit::cases! {
+    few_processes_aggregate_for_all:
+    of_60_processes => 60,
+    of_300_processes => 300,
+    of_1000_processes => 1000,
+    of_6400_processes => 6400,
+}
+
+/// Guards against as many aggregators as processes, whose connections would all idle out, and against one that
+/// gets most of the queries.
+fn few_processes_aggregate_for_all(size: usize) {
+    let counts = load(&mut fleet(size), size);
+    assert!(
+        counts.len() <= size / 10 + 3,
+        "{} aggregators of {size} processes",
+        counts.len()
+    );
+    let busiest = counts.values().max().unwrap();
+    let mean = CHOICES as f64 / counts.len() as f64;
+    // The zones without targets have as many callers as those with them, so two of three queries come from
+    // another zone at random; 100 queries at the least make the mean meaningful.
+    if mean >= 100.0 {
+        assert!(
+            (*busiest as f64) < 2.0 * mean,
+            "{busiest} of {mean} on average"
+        );
+    }
+    for aggregator in counts.keys() {
+        let index = (0..size).find(|index| addr(*index) == *aggregator).unwrap();
+        assert!(
+            index % ZONES.len() < 3,
+            "aggregator in a zone without targets"
+        );
+    }
+}
+
+/// Guards against large processors that stay idle while small ones aggregate.
+#[test]
+fn large_processors_aggregate_first() {
+    let counts = load(&mut fleet(288), 288);
+    for aggregator in counts.keys() {
+        let index = (0..288).find(|index| addr(*index) == *aggregator).unwrap();
+        assert_eq!(node(index).capacity_cores, 0.5);
+    }
+}
+
+/// Guards against a hop over the border of a zone that has targets itself.
+#[test]
+fn aggregator_of_the_own_zone_comes_first() {
+    let mut directory = fleet(300);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for index in (0..300).filter(|index| index % ZONES.len() < 3) {
+        let Some(chosen) = choose(&mut directory, index, &[], &|_| true, &mut rng) else {
+            continue;
+        };
+        let zone = &directory.node(chosen).unwrap().zone;
+        assert_eq!(&**zone, ZONES[index % ZONES.len()]);
+    }
+}
+
+/// Guards against queries at processes that are gone, ejected or have refused the query.
+#[test]
+fn unusable_processes_get_no_query() {
+    let mut directory = fleet(300);
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    let unusable: BTreeSet<SocketAddr> = (0..300)
+        .filter(|_| rng.random_bool(0.4))
+        .map(addr)
+        .collect();
+    for index in 0..300 {
+        let is_usable = |addr: SocketAddr| !unusable.contains(&addr);
+        let Some(first) = choose(&mut directory, index, &[], &is_usable, &mut rng) else {
+            continue;
+        };
+        assert!(is_usable(first));
+        let second = choose(&mut directory, index, &[first], &is_usable, &mut rng);
+        assert!(second.is_none_or(|second| is_usable(second) && second != first));
+    }
+}
+
+/// Guards against queries at a zone whose processes are all gone while others could serve, and against a hop from
+/// the only process that is left of a zone with targets.
+#[test]
+fn zone_without_usable_processes_gets_no_query() {
+    let mut directory = fleet(300);
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let gone_zone: BTreeSet<SocketAddr> = (0..300).step_by(ZONES.len()).map(addr).collect();
+    let is_usable = |addr: SocketAddr| !gone_zone.contains(&addr);
+    for index in (3..300).step_by(ZONES.len()) {
+        let chosen = choose(&mut directory, index, &[], &is_usable, &mut rng);
+        assert!(chosen.is_some_and(is_usable));
+    }
+    assert_eq!(choose(&mut directory, 294, &[], &is_usable, &mut rng), None);
+}
+
+/// Returns the aggregators by zone.
+fn by_zone(
+    counts: &BTreeMap<SocketAddr, usize>,
+    size: usize,
+) -> BTreeMap<&'static str, BTreeSet<SocketAddr>> {
+    let mut zones: BTreeMap<&str, BTreeSet<SocketAddr>> = BTreeMap::new();
+    for index in (0..size).filter(|index| counts.contains_key(&addr(*index))) {
+        zones
+            .entry(ZONES[index % ZONES.len()])
+            .or_default()
+            .insert(addr(index));
+    }
+    zones
+}
+
+/// Guards against many moved queries, and so cold connections, when one process goes: in each zone at most one
+/// aggregator leaves and one joins.
+#[test]
+fn one_process_moves_few_queries() {
+    let size = 300;
+    let before = load(&mut fleet(size), size);
+    for leaving in before.keys() {
+        let mut directory = fleet(size);
+        directory.remove(*leaving);
+        let after = by_zone(&load(&mut directory, size), size);
+        for (zone, aggregators) in by_zone(&before, size) {
+            let left = aggregators.difference(&after[zone]).count();
+            let joined = after[zone].difference(&aggregators).count();
+            assert!(
+                left <= 1 && joined <= 1,
+                "zone {zone}: {joined} joined, {left} left"
+            );
+        }
+    }
+}
+
+/// Guards against a malformed announcement that takes over the whole load or breaks the ranking.
+#[test]
+fn odd_capacities_count_as_none() {
+    let mut directory = fleet(60);
+    for (index, capacity_cores) in [f64::NAN, f64::INFINITY, -3.0, 0.0].into_iter().enumerate() {
+        let zone = "a".into();
+        directory.insert(
+            addr(1000 + index),
+            AggregatorNode {
+                zone,
+                capacity_cores,
+            },
+        );
+    }
+    let counts = load(&mut directory, 60);
+    assert!(counts.keys().all(|aggregator| *aggregator < addr(1000)));
+}
+
+/// Returns whether the queries of a process that come at this rate at random times keep its connections warm,
+/// in the share of checks over a minute.
+fn warm_share(rate_per_s: f64, idle_timeout: Duration) -> f64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let mut rate = QueryRate::new();
+    let (mut warm, mut all) = (0, 0);
+    for tick in 0..6000 {
+        let now = Duration::from_millis(10 * tick);
+        if rng.random_bool(rate_per_s / 100.0) {
+            rate.record(now);
+            all += 1;
+            warm += usize::from(rate.keeps_connections_warm(idle_timeout, now));
+        }
+    }
+    f64::from(warm as u32) / f64::from(all as u32)
+}
+
+/// Guards against a second hop on a site of seven processes with 180 queries a second.
+#[test]
+fn connections_of_a_busy_process_are_warm() {
+    assert!(warm_share(25.0, Duration::from_secs(3)) > 0.95);
+}
+
+/// Guards against 300 processes that all connect to every target for a query every three seconds each.
+#[test]
+fn connections_of_an_idle_process_are_cold() {
+    assert!(warm_share(0.3, Duration::from_secs(9)) < 0.05);
+}
+
+/// Guards against an aggregator that is asked again and again although it is gone.
+#[test]
+fn failing_aggregator_is_ejected_longer_and_longer() {
+    let mut ejection = PeerEjection::new();
+    let mut now = Duration::ZERO;
+    let mut asked = 0;
+    while now < Duration::from_secs(60) {
+        if !ejection.is_ejected(addr(1), now) {
+            ejection.record_failure(addr(1), now);
+            asked += 1;
+        }
+        now += Duration::from_millis(10);
+    }
+    assert!(asked <= 12, "asked {asked} times in a minute");
+    ejection.record_success(addr(1));
+    assert!(!ejection.is_ejected(addr(1), now));
+}
--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -40,7 +40,7 @@
         RequestError,
         RequestErrorKind,
         request_fingerprint,
-        run_scatter_gather,
+        run_placed_gather,
         run_split, //
     },
     route_table::RouteTable,
@@ -144,7 +144,7 @@
     let query = Arc::new(query);
     match &query.route.destination {
         Destination::Split(split) => run_split(Arc::clone(&query), split).await,
-        Destination::ScatterGather(gather) => run_scatter_gather(Arc::clone(&query), gather).await,
+        Destination::ScatterGather(gather) => run_placed_gather(Arc::clone(&query), gather).await,
     }
 }
 
@@ -253,6 +253,8 @@
         arrived_at,
         deadline,
         fingerprint,
+        is_repeat: false,
+        aggregator_count: None,
     })
 }
 
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -20,7 +20,8 @@
     time::{
         Instant,
         interval,
-        sleep, //
+        sleep,
+        timeout, //
     },
 };
 
@@ -35,6 +36,7 @@
         Gossip,
         GossipError, //
     },
+    query::serve_aggregation,
     settings::Settings,
     shared_state::SharedState,
     source::Source,
@@ -134,6 +136,15 @@
         .mul_f64(REQUEST_CANCEL_FRACTION)
         .saturating_sub(stop_started.elapsed());
     frontend_server.stop(frontend_timeout).await;
+    let aggregation_timeout = shutdown_timeout
+        .mul_f64(REQUEST_CANCEL_FRACTION)
+        .saturating_sub(stop_started.elapsed());
+    if timeout(aggregation_timeout, shared.aggregations_finished())
+        .await
+        .is_err()
+    {
+        tracing::warn!("queries of other processes cancelled at shutdown");
+    }
     gossip.announce_leave().await;
     tasks.shutdown().await;
     drop(peer_server);
@@ -158,6 +169,9 @@
                 PeerRequest::Follow(request) => {
                     PeerReply::Follow(serve_follower(&shared, request).await)
                 }
+                PeerRequest::Gather(request) => {
+                    PeerReply::Gather(serve_aggregation(&shared, *request).await)
+                }
                 _ => PeerReply::Unsupported,
             }
         }
--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use limpet_decide::spread::ReportRoute;
 use limpet_types::codec;
 use rand::seq::SliceRandom;
 use tokio::{
@@ -23,8 +24,8 @@
 };
 
 use super::{
+    Announcement,
     NodeId,
-    REPORT_FANOUT,
     REPORT_PERIOD,
     Report,
     Welcome, //
@@ -43,7 +44,10 @@
 /// One in this many regular reports to a process is complete; the rest hold only recent changes.
 const REPORTS_PER_COMPLETE_REPORT: u64 = 8;
 /// Number of startup rounds, the first rounds of this process, in which all regular reports are complete.
-const STARTUP_ROUND_COUNT: u64 = 16;
+const STARTUP_ROUND_COUNT: u64 = 8;
+/// First byte of a datagram that the receiver passes on to the other processes of its zone, without this byte. No
+/// report and no announcement begins with it.
+const RELAY_MARKER: u8 = 0xfe;
 /// Maximum number of strikes in a report; each names a request that is suspected of crashing targets.
 const STRIKES_MAX: usize = 8;
 /// Largest datagram that is received.
@@ -102,11 +106,7 @@
                     self.send_round(false).await;
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
-                    Ok((size, from)) => {
-                        if let Some(new_addr) = self.handle_datagram(&buffer[..size], from) {
-                            self.send_welcome(new_addr).await;
-                        }
-                    }
+                    Ok((size, from)) => self.handle_received(&buffer[..size], from).await,
                     // Usually an ICMP error because no process listens at an address that got a report;
                     // the missing reports of that process show this anyway.
                     Err(error) => tracing::debug!(%error, "report not received"),
@@ -115,6 +115,26 @@
         }
     }
 
+    /// Applies a datagram, passes it on if its sender asks for that, and welcomes a new process.
+    async fn handle_received(&self, datagram: &[u8], from: SocketAddr) {
+        let relayed = datagram.strip_prefix(&[RELAY_MARKER]);
+        let new_addr = self.handle_datagram(relayed.unwrap_or(datagram), from);
+        if let Some(bytes) = relayed {
+            self.relay(bytes, from).await;
+        }
+        if let Some(new_addr) = new_addr.filter(|_| self.should_welcome()) {
+            self.send_welcome(new_addr).await;
+        }
+    }
+
+    /// Returns whether a process that has just been heard for the first time gets a report at once.
+    ///
+    /// In a large fleet that starts as a whole, the startup rounds of all processes reach it anyway.
+    fn should_welcome(&self) -> bool {
+        let is_starting = self.round_count.load(Ordering::Relaxed) < STARTUP_ROUND_COUNT;
+        !is_starting || self.shared.membership().known_addrs().count() < STARTUP_FANOUT
+    }
+
     /// Reports to every known process that this one is stopping and admits no more requests.
     pub async fn announce_leave(&self) {
         self.send_round(true).await;
@@ -129,19 +149,21 @@
         let shared = &self.shared;
         let now = shared.now();
         let round = self.round_count.fetch_add(1, Ordering::Relaxed);
-        let mut addrs = shared.membership().report_addrs();
-        let mut other_addrs = Vec::new();
+        let mut routes = shared.report_routes();
+        let mut other_routes = Vec::new();
+        let report_interval = shared.membership().report_interval();
+        let rounds_per_turn =
+            (report_interval.as_millis() / REPORT_PERIOD.as_millis()).max(1) as u64;
         let fanout = match round < STARTUP_ROUND_COUNT {
             true => STARTUP_FANOUT,
-            false => REPORT_FANOUT,
+            false => routes.len().div_ceil(rounds_per_turn as usize),
         };
-        if !is_leaving && addrs.len() > fanout {
-            let start_index = round as usize * fanout % addrs.len();
-            addrs.rotate_left(start_index);
-            other_addrs = addrs.split_off(fanout);
+        if !is_leaving && routes.len() > fanout {
+            let start_index = round as usize * fanout % routes.len();
+            routes.rotate_left(start_index);
+            other_routes = routes.split_off(fanout);
         }
-        let report_interval = shared.membership().report_interval();
-        let turn_index = round / (report_interval.as_millis() / REPORT_PERIOD.as_millis()) as u64;
+        let turn_index = round / rounds_per_turn;
         let is_complete = is_leaving
             || round < STARTUP_ROUND_COUNT
             || turn_index.is_multiple_of(REPORTS_PER_COMPLETE_REPORT);
@@ -152,8 +174,11 @@
         };
         let teams = shared.rate_limiter().admissions_since(since);
         let admissions = AdmissionCounts { is_complete, teams };
-        self.send_to(&self.build_report(admissions, is_leaving), &addrs)
+        self.send_report(&self.build_report(admissions, is_leaving), &routes)
             .await;
+        if is_complete && !is_leaving {
+            self.send_announcement(&routes).await;
+        }
         let near_limit = shared
             .rate_limiter()
             .near_limit_admissions_since(now.saturating_sub(REPORT_PERIOD * 2));
@@ -162,7 +187,7 @@
                 is_complete: false,
                 teams: near_limit,
             };
-            self.send_to(&self.build_report(admissions, false), &other_addrs)
+            self.send_report(&self.build_report(admissions, false), &other_routes)
                 .await;
         }
     }
@@ -185,7 +210,12 @@
             welcome,
             ..self.build_report(admissions, false)
         };
-        self.send_to(&report, &[addr]).await;
+        let route = ReportRoute {
+            to: addr,
+            is_relayed: false,
+        };
+        self.send_report(&report, &[route]).await;
+        self.send_announcement(&[route]).await;
     }
 
     /// Builds a report to other processes.
@@ -209,25 +239,69 @@
         }
     }
 
-    /// Sends a report to all of these addresses; a report that cannot be sent is lost.
-    async fn send_to(&self, report: &Report, addrs: &[SocketAddr]) {
-        let bytes = match codec::encode(report) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                tracing::error!(%error, "report cannot be encoded");
-                return;
-            }
+    /// Sends a report on all of these ways; a report that cannot be sent is lost.
+    async fn send_report(&self, report: &Report, routes: &[ReportRoute]) {
+        match codec::encode(report) {
+            Ok(bytes) => self.send_on_routes(&bytes, routes).await,
+            Err(error) => tracing::error!(%error, "report cannot be encoded"),
+        }
+    }
+
+    /// Announces this process on all of these ways.
+    async fn send_announcement(&self, routes: &[ReportRoute]) {
+        match self.shared.own_announcement().encode() {
+            Ok(bytes) => self.send_on_routes(&bytes, routes).await,
+            Err(error) => tracing::error!(%error, "announcement cannot be encoded"),
+        }
+    }
+
+    /// Sends a datagram on all of these ways, with a marker for those who pass it on.
+    async fn send_on_routes(&self, bytes: &[u8], routes: &[ReportRoute]) {
+        let addrs_where = |is_relayed: bool| -> Vec<SocketAddr> {
+            let routes = routes.iter().filter(|route| route.is_relayed == is_relayed);
+            routes.map(|route| route.to).collect()
         };
+        self.send_datagram(bytes, &addrs_where(false)).await;
+        let relayed = [&[RELAY_MARKER], bytes].concat();
+        self.send_datagram(&relayed, &addrs_where(true)).await;
+    }
+
+    /// Passes a datagram on to the other processes of the zone, except its sender.
+    async fn relay(&self, bytes: &[u8], sender: SocketAddr) {
+        let mut addrs = self.shared.zone_addrs();
+        addrs.retain(|addr| *addr != sender);
+        self.send_datagram(bytes, &addrs).await;
+    }
+
+    /// Sends a datagram to all of these addresses; one that cannot be sent is lost.
+    async fn send_datagram(&self, bytes: &[u8], addrs: &[SocketAddr]) {
         for addr in addrs {
-            if let Err(error) = self.socket.send_to(&bytes, addr).await {
+            if let Err(error) = self.socket.send_to(bytes, addr).await {
                 tracing::debug!(%addr, %error, "report not sent");
             }
             metrics::counter!("limpet_report_bytes_total").increment(bytes.len() as u64);
         }
     }
 
+    /// Adds the sender of an announcement to the directory of aggregators.
+    fn handle_announcement(&self, datagram: &[u8], from: SocketAddr) {
+        match Announcement::decode(datagram) {
+            Ok(announcement) => {
+                let addr = announcement.addr;
+                self.shared
+                    .aggregators()
+                    .insert(addr, announcement.into_node());
+            }
+            Err(error) => tracing::warn!(%from, %error, "announcement cannot be decoded"),
+        }
+    }
+
     /// Decodes and applies a report; returns the address of the sender if it was unknown before.
     fn handle_datagram(&self, bytes: &[u8], from: SocketAddr) -> Option<SocketAddr> {
+        if Announcement::is_announcement(bytes) {
+            self.handle_announcement(bytes, from);
+            return None;
+        }
         let report: Report = match codec::decode(bytes) {
             Ok(report) => report,
             Err(error) => {
@@ -239,6 +313,7 @@
         let now = shared.now();
         if report.is_leaving {
             let removed = shared.membership().remove_process(report.addr);
+            shared.aggregators().remove(report.addr);
             if let Some(node) = removed {
                 tracing::info!(addr = %report.addr, node, "process left");
                 shared.rate_limiter().apply_admissions(
--- a/crates/limpet-gateway/src/members/mod.rs
+++ b/crates/limpet-gateway/src/members/mod.rs
@@ -1,10 +1,12 @@
 //! Membership: which gateway processes run, and the reports that they exchange.
 
+mod announcement;
 mod gossip;
 mod membership;
 mod message;
 
 pub use self::{
+    announcement::Announcement,
     gossip::{
         Gossip,
         GossipError, //
--- /dev/null
+++ b/crates/limpet-gateway/src/query/aggregation.rs
@@ -0,0 +1,129 @@
+//! Runs scatter-gather queries for other processes.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    HeaderName,
+    HeaderValue, //
+};
+use limpet_types::{
+    deployment::{
+        Destination,
+        Route, //
+    },
+    message::{
+        GatherRefusal,
+        GatherReply,
+        GatherRequest, //
+    },
+};
+use tokio::time::Instant;
+
+use super::{
+    Answer,
+    QueryContext,
+    RequestErrorKind,
+    run_scatter_gather, //
+};
+use crate::{
+    route_table::RouteTable,
+    shared_state::SharedState,
+    target::OutgoingRequest, //
+};
+
+/// Time that the answer takes back to the process that received the request, and through it.
+const RETURN_TIME: Duration = Duration::from_millis(4);
+
+/// Runs a query that another process sent, or refuses it.
+pub async fn serve_aggregation(shared: &Arc<SharedState>, request: GatherRequest) -> GatherReply {
+    if shared.is_draining() {
+        return GatherReply::Refused(GatherRefusal::Stopping);
+    }
+    let Some((route_table, route)) = find_route(shared, &request) else {
+        return GatherReply::Refused(GatherRefusal::OtherConfig);
+    };
+    let Destination::ScatterGather(gather) = &route.destination else {
+        return GatherReply::Refused(GatherRefusal::OtherConfig);
+    };
+    let Some(_guard) = shared.begin_aggregation() else {
+        metrics::counter!("limpet_aggregations_total", "result" => "busy").increment(1);
+        return GatherReply::Refused(GatherRefusal::Busy);
+    };
+    let Some(outgoing_request) = build_outgoing_request(&request) else {
+        return GatherReply::Refused(GatherRefusal::OtherConfig);
+    };
+    metrics::counter!("limpet_aggregations_total", "result" => "run").increment(1);
+    let now = Instant::now();
+    let waited = request.waited.saturating_add(RETURN_TIME);
+    let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
+    let aggregator_count = shared
+        .aggregators()
+        .primary_count_with(shared.settings.peer_addr, &shard_shares);
+    let query = QueryContext {
+        shared: Arc::clone(shared),
+        route_table,
+        route: route.clone(),
+        request: outgoing_request,
+        arrived_at: now.checked_sub(waited).unwrap_or(now),
+        deadline: now + request.time_left.min(route.timeout),
+        fingerprint: request.fingerprint,
+        is_repeat: false,
+        aggregator_count,
+    };
+    match run_scatter_gather(Arc::new(query), gather).await {
+        Ok(Answer::Gathered {
+            signatures,
+            missing_count,
+            body,
+        }) => GatherReply::Gathered {
+            signatures: signatures
+                .iter()
+                .map(|signature| signature.as_bytes().to_vec())
+                .collect(),
+            missing_count: missing_count as u32,
+            body,
+        },
+        // A scatter-gather query has no other answer.
+        Ok(Answer::Reply(_)) => GatherReply::Failed {
+            is_timed_out: false,
+            is_not_run: false,
+        },
+        Err(error) => GatherReply::Failed {
+            is_timed_out: error.kind == RequestErrorKind::TimedOut,
+            is_not_run: error.is_not_run,
+        },
+    }
+}
+
+/// Returns the route of a query if this process has the config under which the request was admitted.
+fn find_route(shared: &SharedState, request: &GatherRequest) -> Option<(Arc<RouteTable>, Route)> {
+    let route_table = shared.route_table.load_full()?;
+    let config = route_table.config();
+    if config.version != request.config_version {
+        return None;
+    }
+    let mut routes = config.routes.iter();
+    let route = routes.find(|route| route.name == request.route)?.clone();
+    Some((route_table, route))
+}
+
+/// Builds the request to targets; returns `None` if the message holds none.
+fn build_outgoing_request(request: &GatherRequest) -> Option<OutgoingRequest> {
+    let mut headers = HeaderMap::with_capacity(request.headers.len());
+    for (name, value) in &request.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    Some(OutgoingRequest {
+        method: request.method.parse().ok()?,
+        uri: request.uri.parse().ok()?,
+        headers,
+        body: Bytes::copy_from_slice(&request.body),
+        request_id: HeaderValue::from_bytes(&request.request_id).ok()?,
+    })
+}
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -252,6 +252,7 @@
         ));
     }
     if let Some(connection) = reusable.filter(|_| !target.is_leaving()) {
+        query.shared.record_idle_timeout(connection.idle_timeout());
         reservation.return_to_pool(connection);
     }
     if let Some(cold_left_ms) = parse_numeric_header(&reply, &header_names.cold_ms) {
--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -3,16 +3,19 @@
 //! A query is one admitted request of a caller together with all attempts that are made for it: at one
 //! target, or at one target of each shard.
 
+mod aggregation;
 mod attempt;
 mod crash_check;
 mod merge;
 mod outcome;
+mod placed_gather;
 mod query_context;
 mod scatter_gather;
 mod service_attempts;
 mod split;
 
 pub use self::{
+    aggregation::serve_aggregation,
     crash_check::is_no_listener,
     merge::greatest_records,
     outcome::{
@@ -21,6 +24,7 @@
         RequestError,
         RequestErrorKind, //
     },
+    placed_gather::run_placed_gather,
     query_context::{
         QueryContext,
         request_fingerprint, //
--- /dev/null
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -0,0 +1,304 @@
+//! Runs a scatter-gather query where it is placed: in this process or at an aggregator.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use http::HeaderValue;
+use limpet_decide::aggregator::AggregatorChoice;
+use limpet_peer::{
+    PeerError,
+    PeerErrorKind, //
+};
+use limpet_types::{
+    deployment::ScatterGather,
+    message::{
+        GatherRefusal,
+        GatherReply,
+        GatherRequest,
+        PeerReply,
+        PeerRequest, //
+    },
+};
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::{
+    Answer,
+    Outcome,
+    QueryContext,
+    RequestError,
+    RequestErrorKind,
+    run_scatter_gather, //
+};
+use crate::target::connections_share;
+
+/// Number of aggregators that are asked before the query runs in this process.
+const AGGREGATORS_MAX: usize = 2;
+/// Longest time until an aggregator must have accepted a query.
+const ACCEPT_TIMEOUT_MAX: Duration = Duration::from_millis(40);
+/// Longest time until an aggregator must have accepted a query, as a fraction of the latency goal.
+const ACCEPT_TIMEOUT_GOAL_FRACTION: f64 = 0.4;
+/// Multiple of the latency goal after which an aggregator that has not answered is asked whether it is alive.
+const LIVENESS_GOAL_FACTOR: f64 = 1.5;
+/// Shortest time after which an aggregator that has not answered is asked whether it is alive.
+const LIVENESS_DELAY_MIN: Duration = Duration::from_millis(200);
+/// Time within which a live aggregator answers that question.
+const LIVENESS_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// How an aggregator dealt with a query.
+enum Aggregation {
+    /// It ran the query.
+    Ended(Outcome),
+    /// It did not start the query.
+    NotStarted,
+    /// It did not accept the query in time and may have started it.
+    Unknown,
+}
+
+/// Runs a scatter-gather query at an aggregator if that serves the caller better, else in this process.
+///
+/// A query that no aggregator starts runs here. One that an aggregator may have started before it fell silent
+/// runs here with one attempt less, so that no shard gets more attempts than the route allows.
+pub async fn run_placed_gather(query: Arc<QueryContext>, gather: &ScatterGather) -> Outcome {
+    let shared = Arc::clone(&query.shared);
+    let is_rate_high = shared.record_scatter_gather();
+    if is_rate_high && has_connections_for_all(&query, gather) {
+        return run_scatter_gather(query, gather).await;
+    }
+    let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
+    let mut refused_by = Vec::new();
+    while refused_by.len() < AGGREGATORS_MAX {
+        let Some(aggregator) = choose_aggregator(&query, &shard_shares, &refused_by) else {
+            break;
+        };
+        match aggregate_at(&query, aggregator).await {
+            Aggregation::Ended(outcome) => return outcome,
+            Aggregation::NotStarted => refused_by.push(aggregator),
+            Aggregation::Unknown => return run_again(query, gather).await,
+        }
+    }
+    metrics::counter!("limpet_gathers_total", "place" => "here").increment(1);
+    run_here(query, gather).await
+}
+
+/// Returns whether the targets of every shard can hold a connection of each process.
+fn has_connections_for_all(query: &QueryContext, gather: &ScatterGather) -> bool {
+    let process_count = query.shared.rate_limiter().process_counts().total;
+    let services = gather
+        .shards
+        .iter()
+        .map(|shard| query.route_table.service(shard));
+    services
+        .flatten()
+        .all(|service| connections_share(service.connections_max, process_count) >= 1.0)
+}
+
+/// Runs a query in this process, with the connections of an aggregator if it is one.
+async fn run_here(query: Arc<QueryContext>, gather: &ScatterGather) -> Outcome {
+    let shared = &query.shared;
+    let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
+    let own_addr = shared.settings.peer_addr;
+    let aggregator_count = shared
+        .aggregators()
+        .primary_count_with(own_addr, &shard_shares);
+    let query = QueryContext {
+        aggregator_count,
+        ..query.copy()
+    };
+    run_scatter_gather(Arc::new(query), gather).await
+}
+
+/// Runs a query in this process that an aggregator may have started.
+async fn run_again(query: Arc<QueryContext>, gather: &ScatterGather) -> Outcome {
+    let mut route = query.route.clone();
+    if route.attempts_max < 2 {
+        return Err(RequestError::may_have_run(RequestErrorKind::OutcomeUnknown));
+    }
+    route.attempts_max -= 1;
+    metrics::counter!("limpet_gathers_total", "place" => "here_again").increment(1);
+    let query = QueryContext {
+        route,
+        is_repeat: true,
+        ..query.copy()
+    };
+    let outcome = run_scatter_gather(Arc::new(query), gather).await;
+    outcome.map_err(|error| RequestError::may_have_run(error.kind))
+}
+
+/// Chooses the aggregator for a query; returns `None` if it should run in this process.
+fn choose_aggregator(
+    query: &QueryContext,
+    shard_shares: &[(Box<str>, f64)],
+    refused_by: &[SocketAddr],
+) -> Option<SocketAddr> {
+    let shared = &query.shared;
+    let now = shared.now();
+    let live_addrs = shared.membership().live_addrs(now);
+    let peer_ejection = shared.peer_ejection();
+    let is_usable = |addr: SocketAddr| {
+        live_addrs.binary_search(&addr).is_ok() && !peer_ejection.is_ejected(addr, now)
+    };
+    let mut rng = rand::rng();
+    shared.aggregators().choose(&AggregatorChoice {
+        own_addr: shared.settings.peer_addr,
+        own_zone: &shared.settings.zone,
+        shard_shares,
+        is_usable: &is_usable,
+        refused_by,
+        zone_draw: rng.random_range(0.0..1.0),
+        draw: rng.random_range(0.0..1.0),
+    })
+}
+
+/// Sends a query to an aggregator and waits for its answer.
+async fn aggregate_at(query: &Arc<QueryContext>, aggregator: SocketAddr) -> Aggregation {
+    let shared = &query.shared;
+    let goal = query.route.latency_goal;
+    let accept_timeout = goal
+        .mul_f64(ACCEPT_TIMEOUT_GOAL_FRACTION)
+        .min(ACCEPT_TIMEOUT_MAX);
+    let started_at = Instant::now();
+    let request = PeerRequest::Gather(Box::new(build_request(query)));
+    let call = shared.peer_client.call_with_accept_timeout(
+        aggregator,
+        &request,
+        accept_timeout,
+        query.time_left(),
+    );
+    let liveness_delay = goal.mul_f64(LIVENESS_GOAL_FACTOR).max(LIVENESS_DELAY_MIN);
+    let reply = tokio::select! {
+        reply = call => reply,
+        error = wait_until_dead(query, aggregator, liveness_delay) => Err(error),
+    };
+    let aggregation = match reply {
+        Ok(PeerReply::Gather(reply)) => handle_reply(query, aggregator, reply),
+        // A process of an earlier release.
+        Ok(_) => {
+            let now = shared.now();
+            shared.peer_ejection().record_stopping(aggregator, now);
+            Aggregation::NotStarted
+        }
+        Err(error) => {
+            let now = shared.now();
+            shared.peer_ejection().record_failure(aggregator, now);
+            tracing::info!(
+                request_id = query.request_id(), %aggregator, %error,
+                took_us = started_at.elapsed().as_micros(), "aggregator failed"
+            );
+            handle_error(&error)
+        }
+    };
+    let label = match &aggregation {
+        Aggregation::Ended(_) => "aggregator",
+        Aggregation::NotStarted => "refused",
+        Aggregation::Unknown => "not_accepted",
+    };
+    metrics::counter!("limpet_gathers_total", "place" => label).increment(1);
+    aggregation
+}
+
+/// Returns once an aggregator that has not answered for `delay` does not react to other requests either.
+async fn wait_until_dead(
+    query: &QueryContext,
+    aggregator: SocketAddr,
+    delay: Duration,
+) -> PeerError {
+    loop {
+        tokio::time::sleep(delay).await;
+        let probe = query.shared.peer_client.call_with_accept_timeout(
+            aggregator,
+            &PeerRequest::Status,
+            LIVENESS_TIMEOUT,
+            LIVENESS_TIMEOUT,
+        );
+        if let Err(error) = probe.await {
+            let context = format!("no sign of life: {error}");
+            return PeerError::new(PeerErrorKind::ConnectionLost, aggregator, context);
+        }
+    }
+}
+
+/// Converts the reply of an aggregator.
+fn handle_reply(query: &QueryContext, aggregator: SocketAddr, reply: GatherReply) -> Aggregation {
+    let shared = &query.shared;
+    match reply {
+        GatherReply::Refused(refusal) => {
+            if refusal == GatherRefusal::Stopping {
+                let now = shared.now();
+                shared.peer_ejection().record_stopping(aggregator, now);
+            }
+            tracing::info!(request_id = query.request_id(), %aggregator, ?refusal, "aggregator refused");
+            Aggregation::NotStarted
+        }
+        GatherReply::Gathered {
+            signatures,
+            missing_count,
+            body,
+        } => {
+            shared.peer_ejection().record_success(aggregator);
+            let signatures: Result<Vec<HeaderValue>, _> = signatures
+                .iter()
+                .map(|signature| HeaderValue::from_bytes(signature))
+                .collect();
+            Aggregation::Ended(match signatures {
+                Ok(signatures) => Ok(Answer::Gathered {
+                    signatures,
+                    missing_count: missing_count as usize,
+                    body,
+                }),
+                Err(_) => Err(RequestError::may_have_run(RequestErrorKind::OutcomeUnknown)),
+            })
+        }
+        GatherReply::Failed {
+            is_timed_out,
+            is_not_run,
+        } => {
+            shared.peer_ejection().record_success(aggregator);
+            let kind = match is_timed_out {
+                true => RequestErrorKind::TimedOut,
+                false => RequestErrorKind::CoverageLow,
+            };
+            Aggregation::Ended(Err(match is_not_run {
+                true => RequestError::not_run(kind),
+                false => RequestError::may_have_run(kind),
+            }))
+        }
+    }
+}
+
+/// Converts the failure of a call to an aggregator.
+const fn handle_error(error: &PeerError) -> Aggregation {
+    match error.kind {
+        _ if error.is_not_sent() => Aggregation::NotStarted,
+        PeerErrorKind::NotAccepted => Aggregation::Unknown,
+        PeerErrorKind::Timeout => {
+            Aggregation::Ended(Err(RequestError::may_have_run(RequestErrorKind::TimedOut)))
+        }
+        _ => Aggregation::Ended(Err(RequestError::may_have_run(
+            RequestErrorKind::OutcomeUnknown,
+        ))),
+    }
+}
+
+/// Builds the message that asks an aggregator to run a query.
+fn build_request(query: &QueryContext) -> GatherRequest {
+    let request = &query.request;
+    let headers = request.headers.iter();
+    GatherRequest {
+        config_version: query.route_table.config().version,
+        route: query.route.name.clone(),
+        method: request.method.as_str().into(),
+        uri: request.uri.to_string().into(),
+        headers: headers
+            .map(|(name, value)| (name.as_str().into(), value.as_bytes().to_vec()))
+            .collect(),
+        body: request.body.to_vec(),
+        request_id: request.request_id.as_bytes().to_vec(),
+        fingerprint: query.fingerprint,
+        waited: query.arrived_at.elapsed(),
+        time_left: query.time_left(),
+    }
+}
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -33,9 +33,24 @@
     pub deadline: Instant,
     /// Hash that identifies repetitions of the same request, see [`request_fingerprint`].
     pub fingerprint: u64,
+    /// Whether an aggregator may have run the query already, so that every attempt is a repeat.
+    pub is_repeat: bool,
+    /// Number of aggregators if this process is one of them and the query is a scatter-gather one.
+    pub aggregator_count: Option<usize>,
 }
 
 impl QueryContext {
+    /// Returns a copy of the query, for a run in another way.
+    pub fn copy(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            route_table: Arc::clone(&self.route_table),
+            route: self.route.clone(),
+            request: self.request.clone(),
+            ..*self
+        }
+    }
+
     /// Returns the request id as text for the log.
     pub fn request_id(&self) -> &str {
         self.request.request_id.to_str().unwrap_or("?")
--- a/crates/limpet-gateway/src/settings.rs
+++ b/crates/limpet-gateway/src/settings.rs
@@ -35,6 +35,8 @@
     pub membership_limits: MembershipLimits,
     /// Time for which a target stays in use after its record lapsed around an outage of the source.
     pub lapse_grace: Duration,
+    /// Processor capacity of the process in cores, by which aggregators are chosen.
+    pub capacity_cores: f64,
     /// Number of open caller connections above which callers are asked to close theirs after an answer.
     pub caller_connections_max: usize,
     /// Maximum time from the shutdown signal to the end of the process.
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -2,10 +2,12 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
             AtomicBool,
+            AtomicU64,
             AtomicUsize,
             Ordering, //
         },
@@ -15,17 +17,36 @@
 
 use arc_swap::ArcSwapOption;
 use limpet_decide::{
+    aggregator::{
+        AggregatorDirectory,
+        AggregatorNode,
+        PeerEjection,
+        QueryRate, //
+    },
     cold_share,
-    quarantine::StrikeTable, //
+    quarantine::StrikeTable,
+    spread::{
+        ReaderRank,
+        Readers,
+        ReportPeer,
+        ReportRoute,
+        readers,
+        report_routes, //
+    },
 };
+use limpet_peer::PeerClient;
 use limpet_types::deployment::Route;
+use rand::Rng;
 use tokio::sync::watch;
 
 use crate::{
     clock::Clock,
     deployment_state::DeploymentState,
     header_names::HeaderNames,
-    members::Membership,
+    members::{
+        Announcement,
+        Membership, //
+    },
     rate::{
         RateLimiter,
         WaitTimeEstimator, //
@@ -45,6 +66,33 @@
 /// one may be routed to a VM that is down.
 const REFUSED_CONNECTIONS_DIVISOR: usize = 4;
 
+/// Number of queries that a process runs for others at the same time, per core of its processor. One query is
+/// a burst of requests to all shards.
+const AGGREGATIONS_PER_CORE: f64 = 8.0;
+/// Idle timeout of connections to targets before one was seen, in milliseconds.
+const DEFAULT_IDLE_TIMEOUT_MS: u64 = 3000;
+
+/// Counts a query that is run for another process until it is dropped.
+#[derive(Debug)]
+pub struct AggregationGuard(Arc<SharedState>);
+
+impl Drop for AggregationGuard {
+    fn drop(&mut self) {
+        self.0
+            .aggregation_count
+            .send_modify(|count| *count = count.saturating_sub(1));
+    }
+}
+
+/// Returns what a process with these settings announces about itself.
+fn announcement(settings: &Settings) -> Announcement {
+    Announcement {
+        addr: settings.peer_addr,
+        zone: settings.zone.clone(),
+        capacity_cores: settings.capacity_cores,
+    }
+}
+
 /// Estimators of the time that callers have already waited, by team.
 type WaitTimeEstimatorsByTeam = HashMap<Box<str>, WaitTimeEstimator>;
 
@@ -78,6 +126,17 @@
     route_latencies: Mutex<HashMap<Box<str>, RouteLatency>>,
     /// Estimators of the time that callers have already waited, by route and team.
     wait_time_estimators: Mutex<HashMap<Box<str>, WaitTimeEstimatorsByTeam>>,
+    /// Client for calls to other gateway processes.
+    pub peer_client: PeerClient,
+    /// Processes that may run scatter-gather queries for this one.
+    aggregators: Mutex<AggregatorDirectory>,
+    peer_ejection: Mutex<PeerEjection>,
+    /// Rate of the scatter-gather queries that callers send to this process.
+    query_rate: Mutex<QueryRate>,
+    /// Time after which targets close an idle connection, as last seen, in milliseconds.
+    idle_timeout_ms: AtomicU64,
+    /// Number of queries that this process runs for others.
+    aggregation_count: watch::Sender<usize>,
 }
 
 /// Locks a field. A poisoned lock is accepted: the fields hold plain data that stays usable after a panic
@@ -95,6 +154,8 @@
             &settings.seeds,
         );
         let is_first_start = settings.is_first_start;
+        let mut aggregators = AggregatorDirectory::new();
+        aggregators.insert(settings.peer_addr, announcement(&settings).into_node());
         let deployment_state = DeploymentState::new(settings.lapse_grace);
         Self {
             settings,
@@ -113,9 +174,116 @@
             retry_budgets: Mutex::new(HashMap::new()),
             route_latencies: Mutex::new(HashMap::new()),
             wait_time_estimators: Mutex::new(HashMap::new()),
+            peer_client: PeerClient::new(),
+            aggregators: Mutex::new(aggregators),
+            peer_ejection: Mutex::new(PeerEjection::new()),
+            query_rate: Mutex::new(QueryRate::new()),
+            idle_timeout_ms: AtomicU64::new(DEFAULT_IDLE_TIMEOUT_MS),
+            aggregation_count: watch::Sender::new(0),
         }
     }
 
+    /// Returns what this process announces about itself.
+    pub fn own_announcement(&self) -> Announcement {
+        announcement(&self.settings)
+    }
+
+    /// Locks the directory of the processes that may run scatter-gather queries for this one.
+    pub fn aggregators(&self) -> MutexGuard<'_, AggregatorDirectory> {
+        lock(&self.aggregators)
+    }
+
+    /// Returns whom this process follows for the state of the deployment.
+    pub fn readers(&self) -> Readers {
+        let live_addrs = self.membership().live_addrs(self.now());
+        let aggregators = self.aggregators();
+        let live: Vec<ReaderRank<'_>> = live_addrs
+            .into_iter()
+            .map(|addr| {
+                let node = aggregators.node(addr);
+                ReaderRank {
+                    addr,
+                    zone: node.map(|node| &*node.zone),
+                    capacity_millicores: node.map_or(0, AggregatorNode::capacity_millicores),
+                }
+            })
+            .collect();
+        readers(self.settings.peer_addr, &live)
+    }
+
+    /// Returns the addresses of the other processes of this zone that have announced themselves.
+    pub fn zone_addrs(&self) -> Vec<SocketAddr> {
+        let membership = self.membership();
+        let aggregators = self.aggregators();
+        let is_in_zone = |addr: &SocketAddr| {
+            let node = aggregators.node(*addr);
+            node.is_some_and(|node| node.zone == self.settings.zone)
+        };
+        membership.known_addrs().filter(is_in_zone).collect()
+    }
+
+    /// Returns the ways on which a report of this process reaches all others.
+    pub fn report_routes(&self) -> Vec<ReportRoute> {
+        let (addrs, live_addrs) = {
+            let membership = self.membership();
+            (membership.report_addrs(), membership.live_addrs(self.now()))
+        };
+        let aggregators = self.aggregators();
+        let peers: Vec<ReportPeer<'_>> = addrs
+            .into_iter()
+            .map(|addr| ReportPeer {
+                addr,
+                zone: aggregators.node(addr).map(|node| &*node.zone),
+                is_live: live_addrs.binary_search(&addr).is_ok(),
+            })
+            .collect();
+        let mut rng = rand::rng();
+        report_routes(&self.settings.zone, &peers, |count| {
+            rng.random_range(0..count)
+        })
+    }
+
+    /// Locks the failures of aggregators.
+    pub fn peer_ejection(&self) -> MutexGuard<'_, PeerEjection> {
+        lock(&self.peer_ejection)
+    }
+
+    /// Records a scatter-gather query of a caller, and returns whether such queries come so often that the
+    /// connections to the targets stay warm.
+    pub fn record_scatter_gather(&self) -> bool {
+        let now = self.now();
+        let idle_timeout = Duration::from_millis(self.idle_timeout_ms.load(Ordering::Relaxed));
+        let mut query_rate = lock(&self.query_rate);
+        query_rate.record(now);
+        query_rate.keeps_connections_warm(idle_timeout, now)
+    }
+
+    /// Records after which time a target closes an idle connection.
+    pub fn record_idle_timeout(&self, idle_timeout: Duration) {
+        let idle_timeout_ms = u64::try_from(idle_timeout.as_millis()).unwrap_or(u64::MAX);
+        self.idle_timeout_ms
+            .store(idle_timeout_ms, Ordering::Relaxed);
+    }
+
+    /// Counts a query that this process begins to run for another one; returns `None` if it already runs as
+    /// many as its processor can.
+    pub fn begin_aggregation(self: &Arc<Self>) -> Option<AggregationGuard> {
+        let limit = (self.settings.capacity_cores * AGGREGATIONS_PER_CORE) as usize;
+        let is_begun = self.aggregation_count.send_if_modified(|count| {
+            let has_capacity = *count < limit.max(1);
+            *count += usize::from(has_capacity);
+            has_capacity
+        });
+        is_begun.then(|| AggregationGuard(Arc::clone(self)))
+    }
+
+    /// Waits until no query of another process is running.
+    pub async fn aggregations_finished(&self) {
+        let mut count_receiver = self.aggregation_count.subscribe();
+        // The sender lives in `self`, so the wait cannot fail.
+        let _ = count_receiver.wait_for(|count| *count == 0).await;
+    }
+
     /// Returns the time since the start of the process.
     pub fn now(&self) -> Duration {
         self.clock.now()
@@ -149,23 +317,24 @@
     /// Records a request for a service in the retry budget of that service.
     pub fn record_service_request(&self, service: &str) {
         let now = self.now();
-        let mut retry_budgets = lock(&self.retry_budgets);
-        if let Some(budget) = retry_budgets.get_mut(service) {
-            budget.record_request(now);
-            return;
-        }
-        let mut budget = RetryBudget::new(self.settings.retry_limits);
-        budget.record_request(now);
-        retry_budgets.insert(service.into(), budget);
+        self.with_retry_budget(service, |budget| budget.record_request(now));
     }
 
     /// Spends one retry from the budget of a service; returns false if the budget is exhausted.
     pub fn try_spend_retry(&self, service: &str) -> bool {
         let now = self.now();
         let process_count = self.rate_limiter().process_counts().total;
+        self.with_retry_budget(service, |budget| budget.try_spend(process_count, now))
+    }
+
+    /// Calls `apply` with the retry budget of a service.
+    fn with_retry_budget<T>(&self, service: &str, apply: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut retry_budgets = lock(&self.retry_budgets);
-        let budget = retry_budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.try_spend(process_count, now))
+        if let Some(budget) = retry_budgets.get_mut(service) {
+            return apply(budget);
+        }
+        let budget = RetryBudget::new(self.settings.retry_limits);
+        apply(retry_budgets.entry(service.into()).or_insert(budget))
     }
 
     /// Returns the time between two requests of this process to a cold target, or `None` if it may send none.
--- a/crates/limpet-gateway/src/state_updater.rs
+++ b/crates/limpet-gateway/src/state_updater.rs
@@ -39,15 +39,18 @@
 
 /// Longest time for which the source delays its reply to a watch while nothing changes.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// Longest time for which a process delays its reply to a follower while nothing changes.
+/// Longest time for which the source delays its reply to the watch after one with changes. The age of the state
+/// counts from the request of a watch that returned changes, so the next reply must not take long.
+const WATCH_WAIT_AFTER_CHANGES: Duration = Duration::from_millis(300);
+/// Longest time for which a process delays its reply while nothing changes, to a follower that others follow in
+/// turn.
+const READER_FOLLOW_WAIT: Duration = Duration::from_millis(400);
+/// Longest time for which a process delays its reply to another follower while nothing changes.
 const FOLLOW_WAIT: Duration = Duration::from_millis(800);
-/// Number of processes that a process tries to follow before it reads the source itself.
-const READER_CANDIDATES_MAX: usize = 3;
 /// Time beyond the requested wait after which a reply counts as missing.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
-/// Age of the state beyond which a process is not current. While its watches return in time and without
-/// changes, its state is at most `WATCH_WAIT` plus `REPLY_TIMEOUT` old. After a reply with changes, the state
-/// can get older before the next reply, because its age then counts from the request.
+/// Age of the state beyond which a process is not current. While its watches return in time, its state is at most
+/// as old as a watch, the delay after changes and the next watch take together.
 const CURRENT_AGE_MAX: Duration = Duration::from_millis(1600);
 /// Delay after a reply of the source with changes, so that the next reply holds several changes at once.
 const BATCH_DELAY: Duration = Duration::from_millis(120);
@@ -58,6 +61,10 @@
 /// Longest delay of a process that the others do not try to follow. Such a process may wait longer: once the
 /// source answers again, it gets the state from the first ones that notice.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(1000);
+/// Time after its start until which a process waits to hear another one.
+const PEERS_WAIT_MAX: Duration = Duration::from_millis(1000);
+/// Interval at which a process checks during that time whether it has heard another one.
+const PEERS_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of processes that a process without any state asks for theirs.
 const START_PEERS_MAX: usize = 5;
 
@@ -85,6 +92,8 @@
     /// Whether the source no longer has the changes after the revision of this process, so that the whole
     /// state must be read.
     needs_full_read: bool,
+    /// Longest time for which the source delays its reply to the next watch.
+    watch_wait: Duration,
     /// Delay after the next failed read of the source, without jitter.
     retry_delay: Duration,
     /// Process that was current when it was followed last, other than the candidates of all processes.
@@ -100,6 +109,7 @@
             peer_client: PeerClient::new(),
             source_status: SourceStatus::Unknown,
             needs_full_read: false,
+            watch_wait: WATCH_WAIT,
             retry_delay: RETRY_DELAY_MIN,
             current_peer: None,
         }
@@ -107,6 +117,9 @@
 
     /// Runs until the future is dropped.
     pub async fn run(mut self) {
+        if self.shared.settings.is_first_start {
+            self.wait_for_peers().await;
+        }
         loop {
             if self.shared.deployment_state().revision() == 0 {
                 self.adopt_newest_state().await;
@@ -116,6 +129,7 @@
                 || self.read_source().await
             {
                 self.retry_delay = RETRY_DELAY_MIN;
+                self.wait_for_peers().await;
                 continue;
             }
             // The source does not answer this process, but another process may have a later state.
@@ -127,13 +141,25 @@
             }
             let jitter = rand::rng().random_range(0.0..1.0);
             sleep(self.retry_delay + self.retry_delay.mul_f64(jitter)).await;
-            self.retry_delay = match self.is_reader_candidate() {
+            self.retry_delay = match self.shared.readers().has_followers {
                 true => RETRY_DELAY_MIN,
                 false => (self.retry_delay * 2).min(RETRY_DELAY_MAX),
             };
         }
     }
 
+    /// Waits until another process was heard, at most until some time after the start; returns at once if there
+    /// is none to be heard.
+    ///
+    /// When a whole fleet starts, its processes would otherwise all read the source before they know each other.
+    async fn wait_for_peers(&self) {
+        let has_seeds = !self.shared.settings.seeds.is_empty();
+        let knows_none = || self.shared.membership().known_addrs().next().is_none();
+        while has_seeds && knows_none() && self.shared.now() < PEERS_WAIT_MAX {
+            sleep(PEERS_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Asks several processes at once for their state, and applies the newest of the replies.
     ///
     /// A process that has just started must not begin with a state that is older than what the others already
@@ -171,26 +197,22 @@
         is_current
     }
 
-    /// Returns whether this process is one of those that the others try to follow.
-    fn is_reader_candidate(&self) -> bool {
-        let live_addrs = self.shared.membership().live_addrs(self.shared.now());
-        let mut candidates = live_addrs.into_iter().take(READER_CANDIDATES_MAX);
-        candidates.any(|addr| addr == self.shared.settings.peer_addr)
-    }
-
-    /// Follows the first process that is current among the live ones with the lowest addresses; returns false
-    /// if this process has to read the source.
+    /// Follows the first candidate that is current; returns false if this process has to read the source.
     ///
     /// All processes try the same candidates in the same order, so that few processes read the source even
     /// if the source does not answer the first candidate.
     async fn follow_reader(&mut self) -> bool {
         let own_addr = self.shared.settings.peer_addr;
-        let live_addrs = self.shared.membership().live_addrs(self.shared.now());
-        for reader in live_addrs.into_iter().take(READER_CANDIDATES_MAX) {
+        let readers = self.shared.readers();
+        let wait_max = match readers.has_followers {
+            true => READER_FOLLOW_WAIT,
+            false => FOLLOW_WAIT,
+        };
+        for reader in readers.candidates {
             if reader == own_addr {
                 return false;
             }
-            if self.follow(reader, FOLLOW_WAIT).await {
+            if self.follow(reader, wait_max).await {
                 return true;
             }
         }
@@ -266,7 +288,7 @@
         let is_full_read = revision == 0 || self.needs_full_read;
         let reply = match is_full_read {
             true => (self.source.read)(),
-            false => (self.source.watch)(revision, WATCH_WAIT),
+            false => (self.source.watch)(revision, self.watch_wait),
         };
         let reply_timeout = match is_full_read {
             true => FULL_READ_TIMEOUT,
@@ -283,7 +305,9 @@
                     false => self.shared.now(),
                 };
                 apply_update(&self.shared, &update, as_of);
+                self.watch_wait = WATCH_WAIT;
                 if has_changes {
+                    self.watch_wait = WATCH_WAIT_AFTER_CHANGES;
                     sleep(BATCH_DELAY).await;
                 }
                 return true;
--- a/crates/limpet-gateway/src/target/connection.rs
+++ b/crates/limpet-gateway/src/target/connection.rs
@@ -123,6 +123,11 @@
         !self.sender.is_closed() && self.idle_since.elapsed() < self.idle_timeout
     }
 
+    /// Returns the time after which the connection is not reused if it stays idle.
+    pub const fn idle_timeout(&self) -> Duration {
+        self.idle_timeout
+    }
+
     /// Returns whether the connection has already carried a request.
     pub const fn is_reused(&self) -> bool {
         self.is_reused
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -23,6 +23,9 @@
 /// connections that the target still counts.
 const USABLE_CONNECTIONS_FRACTION: f64 = 0.85;
 
+/// Fraction of the usable connections that the aggregators share.
+const AGGREGATOR_CONNECTIONS_FRACTION: f64 = 0.5;
+
 /// Criteria by which [`Fleet::pick`] chooses a target.
 #[derive(Clone, Copy)]
 pub struct TargetCriteria<'a> {
@@ -41,13 +44,23 @@
     pub needs_free_slot: bool,
     /// Number of processes that share the targets.
     pub process_count: usize,
+    /// Number of aggregators if this process is one of them. They share a part of the connections beside
+    /// all processes if a target has too few for every process.
+    pub aggregator_count: Option<usize>,
 }
 
 impl TargetCriteria<'_> {
     /// Returns the number of connections that this process may hold to one target.
     pub fn connections_limit(&self) -> usize {
         let usable_connection_count = f64::from(self.connections_max) * USABLE_CONNECTIONS_FRACTION;
-        ((usable_connection_count / self.process_count.max(1) as f64) as usize).max(1)
+        let share = connections_share(self.connections_max, self.process_count);
+        let aggregator_share = match self.aggregator_count {
+            Some(count) if share < 1.0 => {
+                usable_connection_count * AGGREGATOR_CONNECTIONS_FRACTION / count.max(1) as f64
+            }
+            Some(_) | None => 0.0,
+        };
+        (share.max(aggregator_share) as usize).max(1)
     }
 
     /// Returns whether this process may send a request to a target now as far as its warm-up goes.
@@ -65,6 +78,11 @@
     }
 }
 
+/// Returns how many connections each process may hold to a target if all get the same share.
+pub fn connections_share(connections_max: u32, process_count: usize) -> f64 {
+    f64::from(connections_max) * USABLE_CONNECTIONS_FRACTION / process_count.max(1) as f64
+}
+
 /// All targets of the deployment.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -155,6 +173,35 @@
         Some(Arc::clone(target))
     }
 
+    /// Returns for each zone the share of the shards that have a target there that accepts new requests and is
+    /// not ejected.
+    pub fn shard_shares(&self, shards: &[Box<str>], now: Duration) -> Vec<(Box<str>, f64)> {
+        let mut counts: Vec<(&str, usize)> = Vec::new();
+        for shard in shards {
+            let targets = self.by_service.get(shard).map_or(&[][..], Vec::as_slice);
+            let usable = targets
+                .iter()
+                .filter(|target| !target.is_leaving() && !target.health().is_ejected(now));
+            let mut zones: Vec<&str> = usable.map(|target| &*target.zone).collect();
+            zones.sort_unstable();
+            zones.dedup();
+            for zone in zones {
+                match counts
+                    .iter_mut()
+                    .find(|(known_zone, _)| *known_zone == zone)
+                {
+                    Some((_, count)) => *count += 1,
+                    None => counts.push((zone, 1)),
+                }
+            }
+        }
+        let shard_count = shards.len().max(1) as f64;
+        let shares = counts.into_iter();
+        shares
+            .map(|(zone, count)| (zone.into(), count as f64 / shard_count))
+            .collect()
+    }
+
     /// Returns whether a service has a target that accepts new requests and is not ejected.
     pub fn has_healthy_target(&self, service: &str, now: Duration) -> bool {
         let targets = self.by_service.get(service);
--- a/crates/limpet-gateway/src/target/mod.rs
+++ b/crates/limpet-gateway/src/target/mod.rs
@@ -22,7 +22,8 @@
     connection_pool::ConnectionPool,
     fleet::{
         Fleet,
-        TargetCriteria, //
+        TargetCriteria,
+        connections_share, //
     },
     one_target::{
         InFlightGuard,
--- a/crates/limpet-gateway/tests/follower.rs
+++ b/crates/limpet-gateway/tests/follower.rs
@@ -8,13 +8,7 @@
     time::Duration, //
 };
 
-use limpet_gateway::{
-    members::Report,
-    rate::AdmissionCounts, //
-};
-use limpet_peer::PeerServer;
 use limpet_types::{
-    codec,
     deployment::{
         Change,
         Config,
@@ -27,6 +21,7 @@
 use support::{
     Behaviour,
     Deployment,
+    FakePeer,
     FakeTarget,
     PEER_PORT,
     RunningGateway,
@@ -37,16 +32,9 @@
     target_record,
     unused_loopback_ip, //
 };
-use tokio::{
-    net::{
-        TcpListener,
-        UdpSocket, //
-    },
-    task::JoinHandle,
-    time::{
-        Instant,
-        sleep, //
-    },
+use tokio::time::{
+    Instant,
+    sleep, //
 };
 
 /// Time within which every process must apply a change.
@@ -152,69 +140,30 @@
     assert_eq!(get(gateway.caller_addr, "/one/a").await.status, 200);
 }
 
-/// A process that reports to another one and always answers it with the same state.
-struct FakePeer {
-    _server: PeerServer,
-    report_task: JoinHandle<()>,
-}
-
-impl Drop for FakePeer {
-    fn drop(&mut self) {
-        self.report_task.abort();
-    }
-}
-
-impl FakePeer {
-    /// Starts a peer at `ip` whose state holds `config` and was verified `age` ago.
-    async fn start_at(
-        ip: &str,
-        config: Config,
-        target: SocketAddr,
-        age: Duration,
-        report_to: SocketAddr,
-    ) -> Self {
-        let listener = TcpListener::bind((ip, PEER_PORT)).await.unwrap();
-        let addr = listener.local_addr().unwrap();
-        let revision = config.version * 10;
-        let target = Change::Target("t".into(), Arc::new(target_record("s", target)));
-        let changes = [Change::Config(Arc::new(config)), target];
-        let update = StateUpdate {
-            is_full_state: true,
-            revision,
-            changes: changes
-                .map(|change| VersionedChange { revision, change })
-                .to_vec(),
-            age,
-        };
-        let server = limpet_peer::serve(listener, move |_| {
-            let reply = PeerReply::Follow(update.clone());
-            async move { reply }
-        });
-        let socket = UdpSocket::bind(addr).await.unwrap();
-        let report = Report {
-            node: rand::random(),
-            addr,
-            is_leaving: false,
-            admissions: AdmissionCounts {
-                is_complete: true,
-                teams: Vec::new(),
-            },
-            welcome: None,
-            known_addrs: Vec::new(),
-            strikes: Vec::new(),
-        };
-        let report = codec::encode(&report).unwrap();
-        let report_task = tokio::spawn(async move {
-            loop {
-                let _ = socket.send_to(&report, report_to).await;
-                sleep(Duration::from_millis(20)).await;
-            }
-        });
-        Self {
-            _server: server,
-            report_task,
-        }
-    }
+/// Starts a peer at `ip` that always answers with the same state, which holds `config` and was verified `age` ago.
+async fn start_peer_with_state(
+    ip: &str,
+    config: Config,
+    target: SocketAddr,
+    age: Duration,
+    report_to: SocketAddr,
+) -> FakePeer {
+    let revision = config.version * 10;
+    let target = Change::Target("t".into(), Arc::new(target_record("s", target)));
+    let changes = [Change::Config(Arc::new(config)), target];
+    let update = StateUpdate {
+        is_full_state: true,
+        revision,
+        changes: changes
+            .map(|change| VersionedChange { revision, change })
+            .to_vec(),
+        age,
+    };
+    FakePeer::start(ip, 1.0, &[report_to], move |_| {
+        let reply = PeerReply::Follow(update.clone());
+        async move { reply }
+    })
+    .await
 }
 
 /// Guards against a process that starts with a state that most of the others have left behind long ago: a
@@ -238,11 +187,11 @@
         let age = Duration::from_secs(60);
         let ip = unused_loopback_ip();
         let config = outdated.clone();
-        peers.push(FakePeer::start_at(&ip, config, target.addr, age, settings.peer_addr).await);
+        peers.push(start_peer_with_state(&ip, config, target.addr, age, settings.peer_addr).await);
     }
     let age = Duration::from_secs(5);
     let ip = unused_loopback_ip();
-    peers.push(FakePeer::start_at(&ip, newest, target.addr, age, settings.peer_addr).await);
+    peers.push(start_peer_with_state(&ip, newest, target.addr, age, settings.peer_addr).await);
     let is_source_down = Arc::new(std::sync::Mutex::new(true));
     let gateway =
         RunningGateway::start_with_source_switch(settings, &Deployment::new(), is_source_down)
@@ -265,7 +214,7 @@
     for ip in &peer_ips {
         let config = config(1, routes.clone(), &["s"]);
         let age = Duration::from_secs(60);
-        peers.push(FakePeer::start_at(ip, config, target.addr, age, settings.peer_addr).await);
+        peers.push(start_peer_with_state(ip, config, target.addr, age, settings.peer_addr).await);
     }
     let deployment = Deployment::new();
     let is_source_down = Arc::new(std::sync::Mutex::new(true));
--- a/crates/limpet-gateway/tests/support/deployment.rs
+++ b/crates/limpet-gateway/tests/support/deployment.rs
@@ -298,6 +298,7 @@
             report_to_seeds_below: 3,
         },
         lapse_grace: Duration::from_secs(2),
+        capacity_cores: 1.0,
         caller_connections_max: 100,
         shutdown_timeout: Duration::from_secs(2),
     }
--- a/crates/limpet-gateway/tests/support/mod.rs
+++ b/crates/limpet-gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod deployment;
+mod fake_peer;
 mod target;
 
 #[allow(unused_imports)]
@@ -26,6 +27,7 @@
         target_record,
         unused_loopback_ip, //
     },
+    fake_peer::FakePeer,
     target::{
         Behaviour,
         FakeTarget,
--- a/crates/limpet-peer/src/client.rs
+++ b/crates/limpet-peer/src/client.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+use h2::RecvStream;
 use http::Request;
 use limpet_types::{
     codec,
@@ -16,7 +17,13 @@
         PeerRequest, //
     },
 };
-use tokio::sync::Mutex;
+use tokio::{
+    sync::Mutex,
+    time::{
+        Instant,
+        timeout_at, //
+    },
+};
 
 use crate::{
     body::{
@@ -82,35 +89,52 @@
         peer: SocketAddr,
         request: &PeerRequest,
         timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        self.call_with_accept_timeout(peer, request, timeout, timeout)
+            .await
+    }
+
+    /// Works as [`PeerClient::call`], but gives up after `accept_timeout` unless the peer has begun to answer by
+    /// then.
+    ///
+    /// A peer begins to answer as soon as it has decoded the request, so a peer that is gone or frozen is noticed
+    /// long before a reply is due. Opening a connection counts towards this timeout.
+    ///
+    /// # Errors
+    ///
+    /// In addition to those of [`PeerClient::call`], [`PeerErrorKind::NotAccepted`].
+    pub async fn call_with_accept_timeout(
+        &self,
+        peer: SocketAddr,
+        request: &PeerRequest,
+        accept_timeout: Duration,
+        timeout: Duration,
     ) -> Result<PeerReply, PeerError> {
         let kind = message_metrics::request_kind(request);
         let body = codec::encode(request)
             .map_err(|error| PeerError::new(PeerErrorKind::NotSent, peer, error))?;
-        let started_at = tokio::time::Instant::now();
-        let connection = self
-            .get_or_open_connection(peer, timeout.min(CONNECT_TIMEOUT))
-            .await?;
+        let started_at = Instant::now();
+        let connect_timeout = accept_timeout.min(timeout).min(CONNECT_TIMEOUT);
+        let connection = self.get_or_open_connection(peer, connect_timeout);
+        let connection = tokio::time::timeout(connect_timeout, connection)
+            .await
+            .map_err(|elapsed| PeerError::new(PeerErrorKind::Unreachable, peer, elapsed))??;
         let age_at_send_us = connection.age_us();
-        let time_left = timeout.saturating_sub(started_at.elapsed());
-        match tokio::time::timeout(time_left, exchange(&connection, peer, kind, body.into())).await
-        {
-            Ok(result) => {
-                if result.is_err() {
-                    connection.retire();
-                }
-                result
-            }
-            Err(_) => {
+        let timeouts = ExchangeTimeouts {
+            accept_at: started_at + accept_timeout,
+            reply_at: started_at + timeout,
+        };
+        let result = exchange(&connection, peer, kind, body.into(), timeouts).await;
+        match &result {
+            Ok(_) => {}
+            Err(error) if error.is_timeout() => {
                 if connection.retire_if_silent_since(age_at_send_us) {
                     tracing::info!(%peer, "peer connection retired: no reply since the send");
                 }
-                Err(PeerError::new(
-                    PeerErrorKind::Timeout,
-                    peer,
-                    "no reply before the timeout",
-                ))
             }
+            Err(_) => connection.retire(),
         }
+        result
     }
 
     /// Closes all connections, so that calls in flight fail, and waits for the connections' tasks to end.
@@ -152,13 +176,47 @@
     }
 }
 
+/// Points in time until which an exchange waits.
+#[derive(Clone, Copy, Debug)]
+struct ExchangeTimeouts {
+    /// When the peer must have begun to answer.
+    accept_at: Instant,
+    /// When the whole reply must have arrived.
+    reply_at: Instant,
+}
+
 /// Sends an encoded request on a new stream and decodes the reply; `kind` is the metric label of both.
 async fn exchange(
     connection: &Connection,
     peer: SocketAddr,
     kind: &'static str,
     body: Bytes,
+    timeouts: ExchangeTimeouts,
 ) -> Result<PeerReply, PeerError> {
+    let timeout_error = |kind, context: &'static str| PeerError::new(kind, peer, context);
+    let accept_at = timeouts.accept_at.min(timeouts.reply_at);
+    let sent = timeout_at(accept_at, send_request(connection, peer, kind, body)).await;
+    let accept_kind = match timeouts.accept_at < timeouts.reply_at {
+        true => PeerErrorKind::NotAccepted,
+        false => PeerErrorKind::Timeout,
+    };
+    let stream = sent.map_err(|_| timeout_error(accept_kind, "no answer before the timeout"))??;
+    let body = timeout_at(timeouts.reply_at, read_body(stream))
+        .await
+        .map_err(|_| timeout_error(PeerErrorKind::Timeout, "no reply before the timeout"))?
+        .map_err(|error| PeerError::new(PeerErrorKind::ConnectionLost, peer, error))?;
+    connection.record_reply();
+    message_metrics::record_received(kind, body.len());
+    codec::decode(&body).map_err(|error| PeerError::new(PeerErrorKind::InvalidReply, peer, error))
+}
+
+/// Sends an encoded request on a new stream and waits until the peer begins to answer.
+async fn send_request(
+    connection: &Connection,
+    peer: SocketAddr,
+    kind: &'static str,
+    body: Bytes,
+) -> Result<RecvStream, PeerError> {
     let not_sent_error = |error: h2::Error| PeerError::new(PeerErrorKind::NotSent, peer, error);
     let connection_lost_error =
         |error: h2::Error| PeerError::new(PeerErrorKind::ConnectionLost, peer, error);
@@ -175,10 +233,5 @@
         .map_err(connection_lost_error)?;
     message_metrics::record_sent(kind, size_bytes);
     let reply = reply.await.map_err(connection_lost_error)?;
-    let body = read_body(reply.into_body())
-        .await
-        .map_err(connection_lost_error)?;
-    connection.record_reply();
-    message_metrics::record_received(kind, body.len());
-    codec::decode(&body).map_err(|error| PeerError::new(PeerErrorKind::InvalidReply, peer, error))
+    Ok(reply.into_body())
 }
--- a/crates/limpet-peer/src/error.rs
+++ b/crates/limpet-peer/src/error.rs
@@ -20,6 +20,8 @@
     ConnectionLost,
     /// No reply arrived before the timeout.
     Timeout,
+    /// The peer did not begin to answer before the timeout for that; it may have got the request.
+    NotAccepted,
     /// The reply could not be decoded.
     InvalidReply,
 }
@@ -45,6 +47,14 @@
         }
     }
 
+    /// Returns whether the peer took too long.
+    pub const fn is_timeout(&self) -> bool {
+        matches!(
+            self.kind,
+            PeerErrorKind::Timeout | PeerErrorKind::NotAccepted
+        )
+    }
+
     /// Returns whether it is certain that the peer did not get the request.
     pub const fn is_not_sent(&self) -> bool {
         matches!(
--- a/crates/limpet-peer/src/message_metrics.rs
+++ b/crates/limpet-peer/src/message_metrics.rs
@@ -25,6 +25,7 @@
         PeerRequest::ForwardOrder(_) => "forward_order",
         PeerRequest::Status => "status",
         PeerRequest::Follow(_) => "follow",
+        PeerRequest::Gather(_) => "gather",
     }
 }
 
@@ -38,6 +39,7 @@
         PeerReply::ForwardOrder(_) => "forward_order",
         PeerReply::Status(_) => "status",
         PeerReply::Follow(_) => "follow",
+        PeerReply::Gather(_) => "gather",
         PeerReply::Unsupported => "unsupported",
     }
 }
--- a/crates/limpet-peer/src/server.rs
+++ b/crates/limpet-peer/src/server.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use h2::{
     RecvStream,
+    SendStream,
     server::SendResponse, //
 };
 use http::{
@@ -201,27 +202,28 @@
         }
     };
     message_metrics::record_received(message_metrics::request_kind(&request), body.len());
+    // Tells the peer that the request has arrived, long before the reply may be due.
+    let Ok(mut stream) = responder.send_response(Response::new(()), false) else {
+        return;
+    };
     let reply = tokio::select! {
+        biased;
+        _ = poll_fn(|cx| stream.poll_reset(cx)) => return,
         reply = handler(request) => reply,
-        _ = poll_fn(|cx| responder.poll_reset(cx)) => return,
     };
-    if let Err(error) = send_reply(&mut responder, &reply).await {
+    if let Err(error) = send_reply(&mut stream, &reply).await {
         tracing::debug!(%error, "failed to send a reply to a peer");
     }
 }
 
 /// Sends a reply, or resets the stream if the reply cannot be encoded.
-async fn send_reply(
-    responder: &mut SendResponse<Bytes>,
-    reply: &PeerReply,
-) -> Result<(), h2::Error> {
+async fn send_reply(stream: &mut SendStream<Bytes>, reply: &PeerReply) -> Result<(), h2::Error> {
     let Ok(body) = codec::encode(reply) else {
-        responder.send_reset(h2::Reason::INTERNAL_ERROR);
+        stream.send_reset(h2::Reason::INTERNAL_ERROR);
         return Ok(());
     };
-    let mut stream = responder.send_response(Response::new(()), false)?;
     let size_bytes = body.len();
-    write_body(&mut stream, body.into()).await?;
+    write_body(stream, body.into()).await?;
     message_metrics::record_sent(message_metrics::reply_kind(reply), size_bytes);
     Ok(())
 }
--- a/crates/limpet-types/src/message/mod.rs
+++ b/crates/limpet-types/src/message/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod follow;
+mod gather;
 mod gossip;
 mod grant;
 mod order;
@@ -15,6 +16,11 @@
     AttemptRequest, //
 };
 pub use follow::FollowRequest;
+pub use gather::{
+    GatherRefusal,
+    GatherReply,
+    GatherRequest, //
+};
 pub use gossip::{
     ConfigServiceReachability,
     ConfigText,
--- a/crates/limpet-types/src/message/peer.rs
+++ b/crates/limpet-types/src/message/peer.rs
@@ -13,6 +13,8 @@
         FollowRequest,
         ForwardOrderReply,
         ForwardOrderRequest,
+        GatherReply,
+        GatherRequest,
         GossipReply,
         GossipRequest,
         GrantReply,
@@ -39,6 +41,8 @@
     Status,
     /// Wait for changes of the deployment's state.
     Follow(FollowRequest),
+    /// Run a scatter-gather query.
+    Gather(Box<GatherRequest>),
 }
 
 /// Status of a process, for `limpetctl status`.
@@ -67,4 +71,6 @@
     Follow(StateUpdate),
     /// The peer does not serve this kind of request.
     Unsupported,
+    /// Reply to [`PeerRequest::Gather`].
+    Gather(GatherReply),
 }
--- a/crates/limpetshuntd/src/peer_requests.rs
+++ b/crates/limpetshuntd/src/peer_requests.rs
@@ -34,8 +34,8 @@
             .await
             .map(PeerReply::ForwardOrder),
         PeerRequest::Status => Some(PeerReply::Status(admin::handle_status(context).await)),
-        // Only the gateway publishes the state of a deployment.
-        PeerRequest::Follow(_) => None,
+        // Only the gateway publishes the state of a deployment and runs queries for others.
+        PeerRequest::Follow(_) | PeerRequest::Gather(_) => None,
     };
     reply.unwrap_or(PeerReply::Unsupported)
 }
