Bound the memory of bodies, and survive odd bytes, second copies, panics and full accept queues

A reply without the id is a mismatched one now. A part is bounded by the records that an answer can use, heads by 64 KB, and what all bodies hold above 16 KB each by a fourth of the VM's memory, callers' bodies and what slow callers have not read included. Tasks are started anew, a request gets 502. - Tokens that are no number, in a report, filled a team's bucket (adopted_tokens_must_be_numbers). - Crash checks and abandoned attempts ran in tasks that nobody joined: the process cancels and joins them at its end.

--- a/crates/limpet-decide/src/aggregator/directory.rs
+++ b/crates/limpet-decide/src/aggregator/directory.rs
@@ -58,6 +58,16 @@
         Self::default()
     }
 
+    /// Returns the number of processes.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Returns whether the directory has no processes.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
     /// Returns what a process announced.
     pub fn node(&self, addr: SocketAddr) -> Option<&AggregatorNode> {
         self.nodes.get(&addr)
--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -1,11 +1,13 @@
 //! Handles one request of a caller: finds its route and team, applies the rate limit and forwards it.
 
 use std::{
+    panic::AssertUnwindSafe,
     sync::Arc,
     time::Duration, //
 };
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http::{
     HeaderMap, HeaderName, Request, Response,
     header::{
@@ -19,11 +21,7 @@
     },
     request::Parts,
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use limpet_decide::quarantine::Restriction;
 use limpet_types::deployment::Destination;
@@ -34,6 +32,10 @@
 
 use super::response::build_response;
 use crate::{
+    memory::{
+        BodyError,
+        receive_body, //
+    },
     query::{
         Outcome,
         QueryContext,
@@ -53,6 +55,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Value of `Retry-After` while the process has no config.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Value of `Retry-After` while no memory is left for a large body.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Headers that are not forwarded: the hop-by-hop ones, and `Content-Length`, which hyper sets anew where it
 /// is needed.
@@ -83,8 +87,9 @@
     let (head, body) = request.into_parts();
     let request_id = head.headers.get(&shared.header_names.request_id).cloned();
     let mut log_fields = RequestLogFields::default();
+    let run = run_request(&shared, head, body, arrived_at, &mut log_fields);
     let outcome = tokio::select! {
-        outcome = run_request(&shared, head, body, arrived_at, &mut log_fields) => outcome,
+        outcome = answer_after_panic(run) => outcome,
         () = shared.requests_cancelled() => Err(RequestError::may_have_run(RequestErrorKind::ShuttingDown)),
     };
     let duration = arrived_at.elapsed();
@@ -114,6 +119,16 @@
     build_response(&shared, request_id, outcome)
 }
 
+/// Runs a request; if that panics, the caller gets an error like one whose outcome is unknown.
+async fn answer_after_panic(run: impl Future<Output = Outcome>) -> Outcome {
+    let result = AssertUnwindSafe(run).catch_unwind().await;
+    result.unwrap_or_else(|_| {
+        tracing::error!("request panicked");
+        metrics::counter!("limpet_task_panics_total", "task" => "request").increment(1);
+        Err(RequestError::may_have_run(RequestErrorKind::OutcomeUnknown))
+    })
+}
+
 /// Reads the body, admits the request and runs it at the destination of its route.
 async fn run_request(
     shared: &Arc<SharedState>,
@@ -128,10 +143,10 @@
     log_fields.version = route_table.config().version;
     let limits = &route_table.config().limits;
     let caller_timeout = parse_caller_timeout(shared, &head);
-    let body = Limited::new(body, limits.body_max_bytes).collect();
+    let body = receive_body(body, limits.body_max_bytes, &shared.body_memory);
     let body = timeout(caller_timeout.unwrap_or(limits.head_timeout), body).await;
     let body = body.map_err(|_| RequestError::not_run(RequestErrorKind::BodyTooSlow))?;
-    let body = body.map_err(|error| body_error(&*error))?.to_bytes();
+    let body = body.map_err(|error| body_error(&error))?;
     let query = admit_request(
         shared,
         route_table,
@@ -156,10 +171,12 @@
 }
 
 /// Returns the error for a body that cannot be read.
-fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> RequestError {
-    match error.is::<http_body_util::LengthLimitError>() {
-        true => RequestError::not_run(RequestErrorKind::BodyTooLarge),
-        false => RequestError::not_run(RequestErrorKind::BadRequest),
+const fn body_error(error: &BodyError) -> RequestError {
+    match error {
+        BodyError::TooLarge { .. } => RequestError::not_run(RequestErrorKind::BodyTooLarge),
+        BodyError::NoMemory => RequestError::not_run(RequestErrorKind::NoMemory)
+            .with_retry_after(NO_MEMORY_RETRY_AFTER),
+        BodyError::Broken(_) => RequestError::not_run(RequestErrorKind::BadRequest),
     }
 }
 
--- a/crates/limpet-gateway/src/frontend/server.rs
+++ b/crates/limpet-gateway/src/frontend/server.rs
@@ -25,7 +25,11 @@
         JoinHandle,
         JoinSet, //
     },
-    time::timeout,
+    time::{
+        Instant,
+        timeout,
+        timeout_at, //
+    },
 };
 
 use super::handler::handle_request;
@@ -40,6 +44,11 @@
 /// Idle timeout of a connection before the first config is installed.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time after the end of the drain in which connections that wait to be accepted are still accepted.
+const FINAL_ACCEPT_TIME: Duration = Duration::from_millis(50);
+/// Longest time for which such a connection waits for its request.
+const FINAL_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Time reserved at the end of the shutdown for answering cancelled requests and for callers to read
 /// the answers.
 const CANCELLED_RESPONSE_TIME: Duration = Duration::from_millis(100);
@@ -141,12 +150,7 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let guard = ConnectionGuard::new(&shared);
-                    let serve_future = serve_connection(stream, Arc::clone(&shared), stage_receiver.clone());
-                    connections.spawn(async move {
-                        let _guard = guard;
-                        serve_future.await;
-                    });
+                    connections.spawn(serve_connection_guarded(stream, &shared, &stage_receiver));
                 }
                 Err(error) => {
                     tracing::warn!(%error, "caller connection not accepted");
@@ -157,10 +161,32 @@
             _ = stage_receiver.changed() => break,
         }
     }
+    // Connections that were established before are waiting to be accepted; closing the listener would reset them.
+    let accept_end = Instant::now() + FINAL_ACCEPT_TIME;
+    while let Ok(accepted) = timeout_at(accept_end, listener.accept()).await {
+        let Ok((stream, _)) = accepted else {
+            break;
+        };
+        connections.spawn(serve_connection_guarded(stream, &shared, &stage_receiver));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
+/// Serves the requests of one connection and counts it as open meanwhile.
+fn serve_connection_guarded(
+    stream: TcpStream,
+    shared: &Arc<SharedState>,
+    stage_receiver: &watch::Receiver<Stage>,
+) -> impl Future<Output = ()> + Send + 'static {
+    let guard = ConnectionGuard::new(shared);
+    let serve_future = serve_connection(stream, Arc::clone(shared), stage_receiver.clone());
+    async move {
+        let _guard = guard;
+        serve_future.await;
+    }
+}
+
 /// Serves the requests of one connection.
 async fn serve_connection(
     stream: TcpStream,
@@ -186,6 +212,11 @@
         let shared = Arc::clone(&service_shared);
         async move { Ok::<_, Infallible>(handle_request(shared, request).await) }
     });
+    let is_closing = *stage_receiver.borrow() == Stage::Closing;
+    let idle_timeout = match is_closing {
+        true => idle_timeout.min(FINAL_IDLE_TIMEOUT),
+        false => idle_timeout,
+    };
     // hyper starts this timeout at the end of the previous request, so it also limits idle time.
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -193,7 +224,7 @@
         .max_buf_size(head_max_bytes.max(READ_BUFFER_MIN_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    loop {
+    if !is_closing {
         tokio::select! {
             result = connection.as_mut() => {
                 if let Err(error) = result {
@@ -201,13 +232,10 @@
                 }
                 return;
             }
-            changed = stage_receiver.changed() => {
-                if changed.is_err() || *stage_receiver.borrow() == Stage::Closing {
-                    connection.as_mut().graceful_shutdown();
-                    break;
-                }
-            }
+            // The sender is dropped only after the server has closed.
+            _ = stage_receiver.wait_for(|stage| *stage == Stage::Closing) => {}
         }
+        connection.as_mut().graceful_shutdown();
     }
     if let Err(error) = connection.await {
         tracing::debug!(%error, "caller connection ended");
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -2,11 +2,15 @@
 
 use std::{
     net::SocketAddr,
+    panic::AssertUnwindSafe,
     sync::Arc,
     time::Duration, //
 };
 
-use futures::Future;
+use futures::{
+    Future,
+    FutureExt, //
+};
 use limpet_peer::PeerServer;
 use limpet_types::message::{
     PeerReply,
@@ -46,6 +50,8 @@
     },
 };
 
+/// Delay before a task that panicked is started anew.
+const TASK_RESTART_DELAY: Duration = Duration::from_millis(100);
 /// Time between two maintenance rounds; each round removes lapsed targets.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 /// One in this many maintenance rounds also closes expired connections and updates gauges, which costs more.
@@ -108,9 +114,16 @@
         Arc::clone(&shared),
         admin_endpoints,
     ));
-    tasks.spawn(Arc::clone(&gossip).run());
-    tasks.spawn(StateUpdater::new(Arc::clone(&shared), source).run());
-    tasks.spawn(run_maintenance(Arc::clone(&shared), recorder));
+    let reporter = Arc::clone(&gossip);
+    tasks.spawn(supervise("reports", move || Arc::clone(&reporter).run()));
+    let (updater_shared, source) = (Arc::clone(&shared), Arc::new(source));
+    tasks.spawn(supervise("state", move || {
+        StateUpdater::new(Arc::clone(&updater_shared), Arc::clone(&source)).run()
+    }));
+    let maintained = Arc::clone(&shared);
+    tasks.spawn(supervise("maintenance", move || {
+        run_maintenance(Arc::clone(&maintained), recorder.clone())
+    }));
     tasks.spawn(apply_seed_updates(Arc::clone(&shared), seed_updates));
     let peer_server = serve_peers(peer_listener, Arc::clone(&shared));
     let frontend_server =
@@ -148,6 +161,7 @@
     gossip.announce_leave().await;
     tasks.shutdown().await;
     drop(peer_server);
+    shared.stop_background_tasks().await;
     tracing::info!(
         took_ms = stop_started.elapsed().as_millis(),
         "gateway stopped"
@@ -155,6 +169,15 @@
     Ok(())
 }
 
+/// Runs a task, and starts it anew if it panics: one unexpected input must not leave the process without it.
+async fn supervise<F: Future<Output = ()>>(name: &'static str, start: impl Fn() -> F) {
+    while AssertUnwindSafe(start()).catch_unwind().await.is_err() {
+        tracing::error!(task = name, "task panicked and is started anew");
+        metrics::counter!("limpet_task_panics_total", "task" => name).increment(1);
+        sleep(TASK_RESTART_DELAY).await;
+    }
+}
+
 async fn listen(addr: SocketAddr) -> Result<TcpListener, GatewayError> {
     let listener = TcpListener::bind(addr).await;
     listener.map_err(|error| GatewayError::Listen { addr, error })
--- a/crates/limpet-gateway/src/lib.rs
+++ b/crates/limpet-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod header_names;
 pub mod log;
 pub mod members;
+pub mod memory;
 pub mod query;
 pub mod rate;
 pub mod retry_budget;
--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{
             AtomicU64,
             Ordering, //
@@ -41,6 +41,8 @@
 const COMPLETE_KNOWN_ADDRS_MAX: usize = 32;
 /// Number of processes to which this process sends a regular report in each of its startup rounds.
 const STARTUP_FANOUT: usize = 64;
+/// Number of startup rounds in which a process that knows the zones of the others reaches all of them once.
+const STARTUP_ROUNDS_PER_TURN: usize = 4;
 /// One in this many regular reports to a process is complete; the rest hold only recent changes.
 const REPORTS_PER_COMPLETE_REPORT: u64 = 8;
 /// Number of startup rounds, the first rounds of this process, in which all regular reports are complete.
@@ -74,6 +76,17 @@
     node: NodeId,
     /// Number of rounds sent since the start.
     round_count: AtomicU64,
+    /// Ways of the reports of the current turn.
+    turn_routes: Mutex<TurnRoutes>,
+}
+
+/// Ways on which the reports of one turn, in which every process gets a report once, reach the others.
+#[derive(Debug, Default)]
+struct TurnRoutes {
+    turn_index: u64,
+    /// Version of the membership and number of announced processes from which the ways were computed.
+    versions: (u64, usize),
+    routes: Vec<ReportRoute>,
 }
 
 impl Gossip {
@@ -91,6 +104,7 @@
             socket,
             node: rand::random(),
             round_count: AtomicU64::new(0),
+            turn_routes: Mutex::default(),
         })
     }
 
@@ -149,14 +163,16 @@
         let shared = &self.shared;
         let now = shared.now();
         let round = self.round_count.fetch_add(1, Ordering::Relaxed);
-        let mut routes = shared.report_routes();
-        let mut other_routes = Vec::new();
         let report_interval = shared.membership().report_interval();
         let rounds_per_turn =
             (report_interval.as_millis() / REPORT_PERIOD.as_millis()).max(1) as u64;
-        let fanout = match round < STARTUP_ROUND_COUNT {
-            true => STARTUP_FANOUT,
-            false => routes.len().div_ceil(rounds_per_turn as usize),
+        let mut routes = self.routes(round / rounds_per_turn);
+        let mut other_routes = Vec::new();
+        let has_relays = routes.iter().any(|route| route.is_relayed);
+        let fanout = match (round < STARTUP_ROUND_COUNT, has_relays) {
+            (true, false) => STARTUP_FANOUT,
+            (true, true) => routes.len().div_ceil(STARTUP_ROUNDS_PER_TURN),
+            (false, _) => routes.len().div_ceil(rounds_per_turn as usize),
         };
         if !is_leaving && routes.len() > fanout {
             let start_index = round as usize * fanout % routes.len();
@@ -192,6 +208,26 @@
         }
     }
 
+    /// Returns the ways of the reports of a turn; computes them anew for each turn, and when a process came or
+    /// went.
+    fn routes(&self, turn_index: u64) -> Vec<ReportRoute> {
+        let membership_version = self.shared.membership().version();
+        let versions = (membership_version, self.shared.aggregators().len());
+        let mut turn_routes = self
+            .turn_routes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let is_current = turn_routes.turn_index == turn_index && turn_routes.versions == versions;
+        if !is_current || turn_routes.routes.is_empty() {
+            *turn_routes = TurnRoutes {
+                turn_index,
+                versions,
+                routes: self.shared.report_routes(),
+            };
+        }
+        turn_routes.routes.clone()
+    }
+
     /// Sends a complete report to a newly discovered process, with a [`Welcome`] if this process has
     /// completed its own discovery.
     async fn send_welcome(&self, addr: SocketAddr) {
--- a/crates/limpet-gateway/src/members/membership.rs
+++ b/crates/limpet-gateway/src/members/membership.rs
@@ -62,7 +62,7 @@
     /// Whether this process has adopted the process count of a [`Welcome`](super::Welcome) message; later
     /// ones are ignored.
     has_accepted_welcome: bool,
-    /// Number of times that a process was added or removed.
+    /// Number of times that a process, or an address of one, was added or removed.
     version: u64,
 }
 
@@ -142,7 +142,9 @@
     pub fn add_candidates(&mut self, addrs: &[SocketAddr], now: Duration) {
         for addr in addrs {
             if *addr != self.own_addr && !self.members.contains_key(addr) {
-                self.candidates.entry(*addr).or_insert(now);
+                let previous = self.candidates.insert(*addr, now);
+                self.candidates.insert(*addr, previous.unwrap_or(now));
+                self.version += u64::from(previous.is_none());
             }
         }
     }
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -11,17 +11,20 @@
     Version, //
 };
 use http_body_util::Full;
+use limpet_types::deployment::Destination;
 use tokio::time::Instant;
 
 use super::{
     QueryContext,
-    crash_check, //
+    crash_check,
+    merge::RECORD_BYTES, //
 };
 use crate::target::{
     AttemptError,
     AttemptErrorKind,
     Connection,
     InFlightGuard,
+    ReplyLimits,
     Target,
     TargetReply, //
 };
@@ -36,6 +39,13 @@
 /// time.
 const REPLY_MARGIN: Duration = Duration::from_millis(5);
 
+/// Largest body of a reply.
+const REPLY_MAX_BYTES: usize = 8 << 20;
+/// Largest body of a part, as a multiple of the records that the merged answer can use.
+const PART_RECORDS_FACTOR: usize = 16;
+/// Body size that every part may have.
+const PART_MAX_BYTES_MIN: usize = 64 << 10;
+
 /// Sends the request of `query` to `target` and checks the reply.
 ///
 /// Also updates the health of the target and the latency statistics of the route, logs a failure, and starts
@@ -145,7 +155,8 @@
             acquire_connection(query, target, connections_limit).await?;
         let is_reused = connection.is_reused();
         let request = build_target_request(query, target)?;
-        let result = connection.exchange(request, query.deadline).await;
+        let limits = reply_limits(query);
+        let result = connection.exchange(request, &limits, query.deadline).await;
         match result {
             Ok((reply, reusable)) => {
                 return check_reply(query, target, reply, reusable, reservation);
@@ -161,6 +172,21 @@
     }
 }
 
+/// Returns the limits of a reply: a part holds hardly more than the records that the merged answer can use.
+fn reply_limits(query: &QueryContext) -> ReplyLimits {
+    let body_max_bytes = match &query.route.destination {
+        Destination::Split(_) => REPLY_MAX_BYTES,
+        Destination::ScatterGather(gather) => gather
+            .records_max
+            .saturating_mul(RECORD_BYTES * PART_RECORDS_FACTOR)
+            .clamp(PART_MAX_BYTES_MIN, REPLY_MAX_BYTES),
+    };
+    ReplyLimits {
+        body_max_bytes,
+        memory: Arc::clone(&query.shared.body_memory),
+    }
+}
+
 /// Reservation of one open connection in the pool of a target; released on drop unless the connection is
 /// returned to the pool.
 struct ConnectionReservation(Option<Arc<Target>>);
@@ -244,8 +270,11 @@
 ) -> Result<TargetReply, AttemptError> {
     let header_names = &query.shared.header_names;
     let echoed_id = reply.headers.get(&header_names.request_id);
-    if echoed_id.is_some_and(|id| *id != query.request.request_id) {
-        let context = "the reply carries the id of another request";
+    if echoed_id != Some(&query.request.request_id) {
+        let context = match echoed_id {
+            Some(_) => "the reply carries the id of another request",
+            None => "the reply carries no request id",
+        };
         return Err(AttemptError::new(
             AttemptErrorKind::MismatchedReply,
             context,
--- a/crates/limpet-gateway/src/query/crash_check.rs
+++ b/crates/limpet-gateway/src/query/crash_check.rs
@@ -41,10 +41,11 @@
         return;
     }
     let shared = Arc::clone(&query.shared);
+    let task_shared = Arc::clone(&shared);
     let target = Arc::clone(target);
     let fingerprint = query.fingerprint;
     let request_id: Box<str> = query.request_id().into();
-    tokio::spawn(async move {
+    task_shared.spawn_background(async move {
         sleep(CRASH_CHECK_DELAY).await;
         let connect_result = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(target.addr)).await;
         target.end_crash_check();
--- a/crates/limpet-gateway/src/query/merge.rs
+++ b/crates/limpet-gateway/src/query/merge.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 /// Size of one record in a part.
-const RECORD_BYTES: usize = 16;
+pub(super) const RECORD_BYTES: usize = 16;
 
 /// Returns the greatest `records_max` records of all parts in descending order.
 ///
--- a/crates/limpet-gateway/src/query/outcome.rs
+++ b/crates/limpet-gateway/src/query/outcome.rs
@@ -24,6 +24,8 @@
     BadKey,
     /// The team has exceeded its rate limit.
     RateLimited,
+    /// No memory is left for a body that is larger than usual.
+    NoMemory,
     /// This process has not received a config yet.
     NoConfig,
     /// The request is quarantined because it is suspected of crashing targets.
@@ -52,6 +54,7 @@
             Self::NoRoute => "no_route",
             Self::BadKey => "bad_key",
             Self::RateLimited => "over_rate",
+            Self::NoMemory => "no_memory",
             Self::NoConfig => "no_text",
             Self::Quarantined => "quarantined",
             Self::NoTarget => "no_target",
--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -290,9 +290,11 @@
             return;
         }
         let mut remaining_attempts = std::mem::take(&mut self.attempts_in_flight);
-        tokio::spawn(timeout(DETACHED_ATTEMPTS_TIMEOUT, async move {
-            while remaining_attempts.next().await.is_some() {}
-        }));
+        let drive_attempts = async move { while remaining_attempts.next().await.is_some() {} };
+        self.query.shared.spawn_background(async move {
+            // The attempts that are still in flight then are cancelled.
+            let _ = timeout(DETACHED_ATTEMPTS_TIMEOUT, drive_attempts).await;
+        });
     }
 
     /// Returns the result after the last attempt has failed: the latest error reply of a target, or an error
--- a/crates/limpet-gateway/src/rate/token_bucket.rs
+++ b/crates/limpet-gateway/src/rate/token_bucket.rs
@@ -151,7 +151,12 @@
     }
 
     /// Replaces the number of tokens by the one that another process sees.
+    ///
+    /// Ignores what is no number.
     pub fn set_tokens(&mut self, tokens: f64, share: f64, now: Duration) {
+        if !tokens.is_finite() {
+            return;
+        }
         self.refilled_at = now;
         self.tokens = tokens.min((self.burst * share).max(1.0));
     }
--- a/crates/limpet-gateway/src/settings.rs
+++ b/crates/limpet-gateway/src/settings.rs
@@ -37,6 +37,8 @@
     pub lapse_grace: Duration,
     /// Processor capacity of the process in cores, by which aggregators are chosen.
     pub capacity_cores: f64,
+    /// Memory that the bodies of requests and replies above their usual size share, in bytes.
+    pub body_memory_bytes: usize,
     /// Number of open caller connections above which callers are asked to close theirs after an answer.
     pub caller_connections_max: usize,
     /// Maximum time from the shutdown signal to the end of the process.
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -37,7 +37,10 @@
 use limpet_peer::PeerClient;
 use limpet_types::deployment::Route;
 use rand::Rng;
-use tokio::sync::watch;
+use tokio::{
+    sync::watch,
+    task::JoinSet, //
+};
 
 use crate::{
     clock::Clock,
@@ -47,6 +50,7 @@
         Announcement,
         Membership, //
     },
+    memory::BodyMemory,
     rate::{
         RateLimiter,
         WaitTimeEstimator, //
@@ -126,6 +130,10 @@
     route_latencies: Mutex<HashMap<Box<str>, RouteLatency>>,
     /// Estimators of the time that callers have already waited, by route and team.
     wait_time_estimators: Mutex<HashMap<Box<str>, WaitTimeEstimatorsByTeam>>,
+    /// Memory for the bodies of requests and replies.
+    pub body_memory: Arc<BodyMemory>,
+    /// Tasks that run beside the requests that started them.
+    background_tasks: Mutex<JoinSet<()>>,
     /// Client for calls to other gateway processes.
     pub peer_client: PeerClient,
     /// Processes that may run scatter-gather queries for this one.
@@ -154,6 +162,7 @@
             &settings.seeds,
         );
         let is_first_start = settings.is_first_start;
+        let body_memory = Arc::new(BodyMemory::new(settings.body_memory_bytes));
         let mut aggregators = AggregatorDirectory::new();
         aggregators.insert(settings.peer_addr, announcement(&settings).into_node());
         let deployment_state = DeploymentState::new(settings.lapse_grace);
@@ -174,6 +183,8 @@
             retry_budgets: Mutex::new(HashMap::new()),
             route_latencies: Mutex::new(HashMap::new()),
             wait_time_estimators: Mutex::new(HashMap::new()),
+            body_memory,
+            background_tasks: Mutex::new(JoinSet::new()),
             peer_client: PeerClient::new(),
             aggregators: Mutex::new(aggregators),
             peer_ejection: Mutex::new(PeerEjection::new()),
@@ -289,6 +300,19 @@
         self.clock.now()
     }
 
+    /// Runs a task beside the request that starts it; it is cancelled at the end of the process at the latest.
+    pub fn spawn_background(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let mut background_tasks = lock(&self.background_tasks);
+        while background_tasks.try_join_next().is_some() {}
+        background_tasks.spawn(task);
+    }
+
+    /// Cancels the background tasks and waits until they have ended.
+    pub async fn stop_background_tasks(&self) {
+        let mut background_tasks = std::mem::take(&mut *lock(&self.background_tasks));
+        background_tasks.shutdown().await;
+    }
+
     /// Locks the state of the deployment.
     pub fn deployment_state(&self) -> MutexGuard<'_, DeploymentState> {
         lock(&self.deployment_state)
--- a/crates/limpet-gateway/src/state_updater.rs
+++ b/crates/limpet-gateway/src/state_updater.rs
@@ -86,7 +86,7 @@
 #[derive(Debug)]
 pub struct StateUpdater {
     shared: Arc<SharedState>,
-    source: Source,
+    source: Arc<Source>,
     peer_client: PeerClient,
     source_status: SourceStatus,
     /// Whether the source no longer has the changes after the revision of this process, so that the whole
@@ -102,7 +102,7 @@
 
 impl StateUpdater {
     /// Creates the task.
-    pub fn new(shared: Arc<SharedState>, source: Source) -> Self {
+    pub fn new(shared: Arc<SharedState>, source: Arc<Source>) -> Self {
         Self {
             shared,
             source,
--- a/crates/limpet-gateway/src/target/connection.rs
+++ b/crates/limpet-gateway/src/target/connection.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -14,11 +15,7 @@
     Uri,
     header::CONNECTION, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::client::conn::http1::{
     Builder,
     SendRequest, //
@@ -38,10 +35,13 @@
     AttemptErrorKind,
     TargetReply, //
 };
+use crate::memory::{
+    BodyMemory,
+    receive_body, //
+};
 
-/// Largest reply body. Replies of targets have up to about ten kilobytes; those of a store that an adapter
-/// reads have up to 1 MB, in base64.
-const BODY_MAX_BYTES: usize = 8 << 20;
+/// Largest head of a reply. A target in trouble may send one without end.
+const HEAD_MAX_BYTES: usize = 64 << 10;
 /// Idle time after which a connection is not reused if the target sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Subtracted from the target's `Keep-Alive` timeout, so that no request is sent while the target closes the
@@ -63,6 +63,15 @@
     pub request_id: HeaderValue,
 }
 
+/// Limits of a reply.
+#[derive(Clone, Debug)]
+pub struct ReplyLimits {
+    /// Largest body.
+    pub body_max_bytes: usize,
+    /// Memory that all bodies share.
+    pub memory: Arc<BodyMemory>,
+}
+
 /// Task that drives the I/O of a connection; aborted on drop.
 #[derive(Debug)]
 struct ConnectionTask(JoinHandle<()>);
@@ -102,7 +111,9 @@
         stream
             .set_nodelay(true)
             .map_err(|error| unreachable_error(&error))?;
-        let handshake = Builder::new().handshake(TokioIo::new(stream));
+        let handshake = Builder::new()
+            .max_buf_size(HEAD_MAX_BYTES)
+            .handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(|error| unreachable_error(&error))?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -143,6 +154,7 @@
     pub async fn exchange(
         mut self,
         request: Request<Full<Bytes>>,
+        limits: &ReplyLimits,
         deadline: Instant,
     ) -> Result<(TargetReply, Option<Self>), AttemptError> {
         let timeout_error =
@@ -161,7 +173,7 @@
             AttemptError::new(kind, error.into_error())
         })?;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, BODY_MAX_BYTES).collect();
+        let body = receive_body(body, limits.body_max_bytes, &limits.memory);
         let body = timeout_at(deadline, body).await.map_err(timeout_error)?;
         let body =
             body.map_err(|error| AttemptError::new(AttemptErrorKind::NoValidReply, error))?;
@@ -169,7 +181,7 @@
         let reply = TargetReply {
             status: head.status,
             headers: head.headers,
-            body: body.to_bytes(),
+            body,
         };
         Ok((reply, reusable))
     }
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -26,6 +26,10 @@
 /// Fraction of the usable connections that the aggregators share.
 const AGGREGATOR_CONNECTIONS_FRACTION: f64 = 0.5;
 
+/// Function that returns the time between two requests of this process to a cold target, or `None` if it may send
+/// none.
+pub type ColdSendInterval<'a> = dyn Fn(&Target) -> Option<Duration> + 'a;
+
 /// Criteria by which [`Fleet::pick`] chooses a target.
 #[derive(Clone, Copy)]
 pub struct TargetCriteria<'a> {
@@ -37,9 +41,8 @@
     pub tried_targets: &'a [TargetId],
     /// Connection limit of one target, shared by all processes.
     pub connections_max: u32,
-    /// Returns the time between two requests of this process to a cold target, or `None` if it may send none;
-    /// absent if cold targets have no rate limit.
-    pub cold_send_interval: Option<&'a dyn Fn(&Target) -> Option<Duration>>,
+    /// Time between two requests of this process to a cold target; absent if cold targets have no rate limit.
+    pub cold_send_interval: Option<&'a ColdSendInterval<'a>>,
     /// Whether the target must have a free slot, counting only the requests of this process.
     pub needs_free_slot: bool,
     /// Number of processes that share the targets.
--- a/crates/limpet-gateway/src/target/mod.rs
+++ b/crates/limpet-gateway/src/target/mod.rs
@@ -17,7 +17,8 @@
     cold_rate_limiter::ColdRateLimiter,
     connection::{
         Connection,
-        OutgoingRequest, //
+        OutgoingRequest,
+        ReplyLimits, //
     },
     connection_pool::ConnectionPool,
     fleet::{
--- a/crates/limpet-gateway/tests/rate_limits.rs
+++ b/crates/limpet-gateway/tests/rate_limits.rs
@@ -6,7 +6,8 @@
     AdmissionCounts,
     ProcessCounts,
     RateLimiter,
-    TeamAdmissions, //
+    TeamAdmissions,
+    TeamTokens, //
 };
 use limpet_types::deployment::Team;
 use proptest::prelude::*;
@@ -458,3 +459,25 @@
         assert_eq!(admitted_count, 10);
     }
 }
+
+/// Guards against a malformed report that fills the tokens of a team.
+#[test]
+fn adopted_tokens_must_be_numbers() {
+    let team = team(10.0);
+    for tokens in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY] {
+        let mut limiter = RateLimiter::new(false);
+        limiter.set_teams([&team].into_iter(), Duration::ZERO);
+        let adopted = TeamTokens {
+            team: team.name.clone(),
+            tokens,
+        };
+        limiter.adopt_tokens(&[adopted], Duration::ZERO);
+        assert!(limiter.admit(&team.name, false, Duration::ZERO).is_err());
+        // It is not locked out either.
+        assert!(
+            limiter
+                .admit("team-a", false, Duration::from_secs(1))
+                .is_ok()
+        );
+    }
+}
--- a/crates/limpet-gateway/tests/shutdown.rs
+++ b/crates/limpet-gateway/tests/shutdown.rs
@@ -2,22 +2,36 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use http::Method;
+use limpet_gateway::{
+    SharedState,
+    frontend, //
+};
 use limpet_types::deployment::Idempotency;
 use support::{
     Behaviour,
     Deployment,
     FakeTarget,
+    PEER_PORT,
     RunningGateway,
     call,
     config,
+    header_names,
     post,
     route,
-    target_record, //
+    settings,
+    target_record,
+    unused_loopback_ip, //
+};
+use tokio::{
+    net::TcpListener,
+    time::sleep, //
 };
-use tokio::time::sleep;
 
 /// Starts a gateway with one target that answers after `delay`.
 async fn start_gateway(delay: Duration) -> (RunningGateway, FakeTarget) {
@@ -77,6 +91,35 @@
     gateway.wait_stopped().await;
 }
 
+/// Guards against connections that were established before the listener closes, and are reset by that.
+#[tokio::test]
+async fn connections_that_wait_to_be_accepted_are_answered() {
+    let settings = settings(&unused_loopback_ip(), PEER_PORT).await;
+    let listener = TcpListener::bind(settings.caller_addr).await.unwrap();
+    let addr = settings.caller_addr;
+    let shared = Arc::new(SharedState::new(settings, header_names()));
+    let server = frontend::serve(listener, shared).unwrap();
+    // Blocking calls: the server, which shares the thread, accepts none of these before it is told to stop.
+    let mut streams: Vec<std::net::TcpStream> = (0..30)
+        .map(|_| std::net::TcpStream::connect(addr).unwrap())
+        .collect();
+    for stream in &mut streams {
+        let request = b"GET /one/a HTTP/1.1\r\nhost: shop.example\r\nt-id: request-1\r\n\r\n";
+        std::io::Write::write_all(stream, request).unwrap();
+    }
+    server.stop(Duration::from_secs(2)).await;
+    for (index, mut stream) in streams.into_iter().enumerate() {
+        let mut answer = String::new();
+        std::io::Read::read_to_string(&mut stream, &mut answer)
+            .unwrap_or_else(|error| panic!("connection {index}: {error}"));
+        // The process has no config.
+        assert!(
+            answer.starts_with("HTTP/1.1 503"),
+            "connection {index}: {answer:?}"
+        );
+    }
+}
+
 /// Guards against a shutdown that takes longer than the platform waits.
 #[tokio::test]
 async fn shutdown_ends_within_its_timeout() {
--- a/crates/limpet-gateway/tests/support/deployment.rs
+++ b/crates/limpet-gateway/tests/support/deployment.rs
@@ -299,6 +299,7 @@
         },
         lapse_grace: Duration::from_secs(2),
         capacity_cores: 1.0,
+        body_memory_bytes: 1 << 20,
         caller_connections_max: 100,
         shutdown_timeout: Duration::from_secs(2),
     }
--- a/crates/limpet-gateway/tests/support/target.rs
+++ b/crates/limpet-gateway/tests/support/target.rs
@@ -54,6 +54,13 @@
     OtherTarget,
     /// Answers successfully but without a signature.
     Unsigned,
+    /// Answers, and after a delay sends a second copy of the response on the same connection, which stays open.
+    /// The second copy carries the request id if the flag is set.
+    Twice(Duration, bool),
+    /// Sends a head without end.
+    EndlessHead,
+    /// Sends the head of a signed response and then a body without end, with these pauses.
+    EndlessBody(Duration),
 }
 
 /// A request that the target received.
@@ -173,6 +180,38 @@
             Behaviour::Unsigned => {
                 format!("HTTP/1.1 200 OK\r\nt-id: {id}\r\ncontent-length: 4\r\n\r\nfake").into()
             }
+            Behaviour::Twice(delay, has_id) => {
+                let response = format_response(200, &id, id.as_bytes(), "");
+                if stream.write_all(&response).await.is_err() {
+                    return;
+                }
+                let second_copy = match has_id {
+                    true => response,
+                    false => String::from_utf8(response)
+                        .unwrap()
+                        .replace(&format!("t-id: {id}\r\n"), "")
+                        .into(),
+                };
+                sleep(delay).await;
+                second_copy
+            }
+            Behaviour::EndlessHead => {
+                send_without_end(
+                    &mut stream,
+                    b"HTTP/1.1 200 OK\r\n",
+                    b"x: yyyyyyyy\r\n",
+                    Duration::ZERO,
+                )
+                .await;
+                return;
+            }
+            Behaviour::EndlessBody(pause) => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-signature: sig\r\ntransfer-encoding: chunked\r\n\r\n"
+                );
+                send_without_end(&mut stream, head.as_bytes(), ENDLESS_CHUNK, pause).await;
+                return;
+            }
             Behaviour::Truncated => {
                 let mut truncated = format_response(200, &id, b"0123456789abcdef", "");
                 truncated.truncate(truncated.len() - 4);
@@ -197,6 +236,25 @@
     }
 }
 
+/// One chunk of a body without end.
+const ENDLESS_CHUNK: &[u8] = b"10\r\naaaaaaaaaaaaaaaa\r\n";
+
+/// Sends `start` and then `repeated` until the gateway closes the connection, with a pause between two writes.
+async fn send_without_end(stream: &mut TcpStream, start: &[u8], repeated: &[u8], pause: Duration) {
+    let is_fast = pause.is_zero();
+    let repeated = match is_fast {
+        true => repeated.repeat(256),
+        false => repeated.to_vec(),
+    };
+    let mut is_open = stream.write_all(start).await.is_ok();
+    while is_open {
+        is_open = stream.write_all(&repeated).await.is_ok();
+        if !is_fast {
+            sleep(pause).await;
+        }
+    }
+}
+
 /// Formats a signed response to the request with this id; `extra_headers` is added to its head.
 fn format_response(status: u16, id: &str, body: &[u8], extra_headers: &str) -> Vec<u8> {
     let head = format!(
