--- a/crates/limpet-decide/tests/aggregator.rs
+++ b/crates/limpet-decide/tests/aggregator.rs
@@ -43,7 +43,7 @@
 fn node(index: usize) -> AggregatorNode {
     AggregatorNode {
         zone: ZONES[index % ZONES.len()].into(),
-        capacity_cores: if index / ZONES.len() % 16 == 0 {
+        capacity_cores: if (index / ZONES.len()).is_multiple_of(16) {
             0.5
         } else {
             0.12
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -28,7 +28,7 @@
 
 /// Function that returns the time between two requests of this process to a cold target, or `None` if it may send
 /// none.
-pub type ColdSendInterval<'a> = dyn Fn(&Target) -> Option<Duration> + 'a;
+pub(super) type ColdSendInterval<'a> = dyn Fn(&Target) -> Option<Duration> + 'a;
 
 /// Criteria by which [`Fleet::pick`] chooses a target.
 #[derive(Clone, Copy)]
--- a/crates/limpet-gateway/tests/follower.rs
+++ b/crates/limpet-gateway/tests/follower.rs
@@ -227,3 +227,36 @@
     // Delays of at least 150, 300 and 600 ms, then a second each: 6 calls in 4 s, and one for the start.
     assert!(call_count <= 7, "{call_count} calls in 4 s");
 }
+
+/// Guards against followers that all ask the source because the state of their reader looks old: each change comes
+/// late in a watch, so that its age counts from long before.
+#[tokio::test]
+async fn late_changes_do_not_drive_followers_to_the_source() {
+    let deployment = Deployment::new();
+    let target = FakeTarget::always(Behaviour::Answer(200, b"good", Duration::ZERO)).await;
+    let routes = vec![route("/one/", Idempotency::Idempotent, "s")];
+    deployment.publish_config(config(1, routes.clone(), &["s"]));
+    deployment.publish_target("t", target_record("s", target.addr));
+    let ips = [unused_loopback_ip(), unused_loopback_ip()];
+    let views = [
+        deployment.with_own_call_count(),
+        deployment.with_own_call_count(),
+    ];
+    let mut gateways = Vec::new();
+    for (ip, view) in ips.iter().zip(&views) {
+        let mut settings = settings(ip, PEER_PORT).await;
+        settings.seeds = vec![format!("{}:{PEER_PORT}", ips[0]).parse().unwrap()];
+        gateways.push(RunningGateway::start_with(settings, view).await);
+    }
+    for gateway in &gateways {
+        gateway.wait_ready().await;
+    }
+    sleep(Duration::from_millis(600)).await;
+    let calls_before = views[1].source_call_count();
+    for version in 2..6 {
+        deployment.publish_config(config(version, routes.clone(), &["s"]));
+        // A watch of a second that begins 120 ms after a change, and most of the next one.
+        sleep(Duration::from_millis(2020)).await;
+    }
+    assert_eq!(views[1].source_call_count(), calls_before);
+}
--- a/crates/limpet-gateway/tests/rate_limits.rs
+++ b/crates/limpet-gateway/tests/rate_limits.rs
@@ -481,3 +481,60 @@
         );
     }
 }
+
+/// Guards against refusals within the rate after operators have lowered it: the load of the quiet day of a site with
+/// six processes, on which one team sends twice its lowered rate and is the only one that is refused.
+#[test]
+fn team_over_its_lowered_rate_gets_that_rate() {
+    let process_count = 6;
+    let (lowered_per_s, lowered_tick) = (RATE_PER_S / 2.0, 30);
+    let mut limiters: Vec<RateLimiter> = (0..process_count)
+        .map(|_| {
+            let mut limiter = RateLimiter::new(true);
+            limiter.set_teams([team(RATE_PER_S)].iter(), Duration::ZERO);
+            let counts = ProcessCounts {
+                total: process_count,
+                silent: 0,
+            };
+            limiter.set_process_counts(counts, Duration::ZERO);
+            limiter
+        })
+        .collect();
+    let tick_count = 680;
+    let mut admitted_count = 0;
+    for tick in 0..tick_count {
+        let now = TICK * tick as u32;
+        if tick == lowered_tick {
+            for limiter in &mut limiters {
+                limiter.set_teams([team(lowered_per_s)].iter(), now);
+            }
+        }
+        if tick % REPORT_TICKS == 0 {
+            let reports: Vec<_> = limiters.iter().map(RateLimiter::admissions).collect();
+            for (index, limiter) in limiters.iter_mut().enumerate() {
+                for (other, teams) in reports
+                    .iter()
+                    .enumerate()
+                    .filter(|(other, _)| *other != index)
+                {
+                    let admissions = AdmissionCounts {
+                        is_complete: true,
+                        teams: teams.clone(),
+                    };
+                    limiter.apply_admissions(other as u64, &admissions, Duration::ZERO, now);
+                }
+            }
+        }
+        // Two requests a tick of 50 ms, at processes in turn: the former rate, twice the lowered one.
+        for request in 0..2 {
+            let limiter = &mut limiters[(tick * 2 + request) % process_count];
+            admitted_count += usize::from(limiter.admit("team", false, now).is_ok());
+        }
+    }
+    let lowered_time = TICK * (tick_count - lowered_tick) as u32;
+    let owed_count = lowered_per_s * lowered_time.as_secs_f64();
+    assert!(
+        admitted_count as f64 >= owed_count,
+        "{admitted_count} admitted of {owed_count} within the lowered rate"
+    );
+}
--- a/crates/limpet-gateway/tests/support/deployment.rs
+++ b/crates/limpet-gateway/tests/support/deployment.rs
@@ -228,6 +228,14 @@
         }
     }
 
+    /// Returns the same deployment with a count of its own for the calls of the sources that it creates.
+    pub(crate) fn with_own_call_count(&self) -> Self {
+        Self {
+            source_call_count: Arc::default(),
+            ..self.clone()
+        }
+    }
+
     fn count_source_call(&self) {
         self.source_call_count.fetch_add(1, Ordering::Relaxed);
     }
