--- a/crates/limpet-decide/src/spread/readers.rs
+++ b/crates/limpet-decide/src/spread/readers.rs
@@ -12,6 +12,9 @@
 /// Number of processes of its own zone that a process tries to follow before those of the fleet.
 const ZONE_CANDIDATES: usize = 2;
 
+/// Number of processes without followers that ask a failing source in each round of the fleet.
+const PROBES_PER_ROUND: f64 = 8.0;
+
 /// What the choice of readers depends on, for one live process.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReaderRank<'a> {
@@ -24,13 +27,17 @@
 }
 
 /// Whom one process follows.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Readers {
     /// Processes that it tries to follow, in this order. If it comes to its own address, or to the end, it reads
     /// the source.
     pub candidates: Vec<SocketAddr>,
     /// Whether other processes try to follow it.
     pub has_followers: bool,
+    /// Probability with which it asks the source after none of the candidates was current. Those that others
+    /// follow always do. Of the rest of a large fleet only a few do in each round: when the source fails for all,
+    /// more calls are of no use, and when it serves some, one of them is enough to find that out.
+    pub probe_probability: f64,
 }
 
 /// Returns whom the process at `own_addr` follows, chosen from all live processes, itself included.
@@ -59,9 +66,14 @@
             candidates.push(addr);
         }
     }
+    let probe_probability = match has_followers {
+        true => 1.0,
+        false => (PROBES_PER_ROUND / live.len() as f64).min(1.0),
+    };
     Readers {
         candidates,
         has_followers,
+        probe_probability,
     }
 }
 
--- a/crates/limpet-decide/tests/spread.rs
+++ b/crates/limpet-decide/tests/spread.rs
@@ -126,6 +126,24 @@
     }
 }
 
+/// Guards against a fleet that presses on a source in trouble, and against one that no process asks any more.
+#[test]
+fn few_processes_ask_a_failing_source() {
+    for size in [1, 7, 33, 295, 1000] {
+        let live = live_processes(size);
+        let expected: f64 = live
+            .iter()
+            .map(|process| readers(process.addr, &live).probe_probability)
+            .sum();
+        // Three for the fleet, two in each zone and eight others.
+        let expected_max = 3.0 + 2.0 * ZONES.len() as f64 + 8.0;
+        assert!(
+            (1.0..=expected_max).contains(&expected),
+            "{expected} of {size}"
+        );
+    }
+}
+
 /// Guards against many processes that follow another reader after one was lost.
 #[test]
 fn loss_of_a_zone_reader_moves_its_zone_only() {
--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -14,7 +14,10 @@
 
 use limpet_decide::spread::ReportRoute;
 use limpet_types::codec;
-use rand::seq::SliceRandom;
+use rand::{
+    Rng,
+    seq::SliceRandom, //
+};
 use tokio::{
     net::UdpSocket,
     time::{
@@ -47,6 +50,8 @@
 const REPORTS_PER_COMPLETE_REPORT: u64 = 8;
 /// Number of startup rounds, the first rounds of this process, in which all regular reports are complete.
 const STARTUP_ROUND_COUNT: u64 = 8;
+/// Number of processes of a large fleet that send a newly discovered process a report at once.
+const WELCOMES: usize = 16;
 /// First byte of a datagram that the receiver passes on to the other processes of its zone, without this byte. No
 /// report and no announcement begins with it.
 const RELAY_MARKER: u8 = 0xfe;
@@ -143,10 +148,15 @@
 
     /// Returns whether a process that has just been heard for the first time gets a report at once.
     ///
-    /// In a large fleet that starts as a whole, the startup rounds of all processes reach it anyway.
+    /// In a large fleet only a few processes send one: the others reach it by their regular reports, and those of
+    /// a fleet that starts as a whole by their startup rounds.
     fn should_welcome(&self) -> bool {
+        let known_count = self.shared.membership().known_addrs().count();
+        if known_count < STARTUP_FANOUT {
+            return true;
+        }
         let is_starting = self.round_count.load(Ordering::Relaxed) < STARTUP_ROUND_COUNT;
-        !is_starting || self.shared.membership().known_addrs().count() < STARTUP_FANOUT
+        !is_starting && rand::rng().random_range(0..known_count) < WELCOMES
     }
 
     /// Reports to every known process that this one is stopping and admits no more requests.
--- a/crates/limpet-gateway/src/state_updater.rs
+++ b/crates/limpet-gateway/src/state_updater.rs
@@ -126,7 +126,7 @@
             }
             if self.follow_reader().await
                 || self.follow_current_peer().await
-                || self.read_source().await
+                || (self.should_ask_source() && self.read_source().await)
             {
                 self.retry_delay = RETRY_DELAY_MIN;
                 self.wait_for_peers().await;
@@ -187,6 +187,13 @@
         }
     }
 
+    /// Returns whether this process asks the source although others may do so; one without any state always does.
+    fn should_ask_source(&self) -> bool {
+        let has_state = self.shared.deployment_state().revision() > 0;
+        let probability = self.shared.readers().probe_probability;
+        !has_state || rand::rng().random_range(0.0..1.0) < probability
+    }
+
     /// Follows the process that was current last, if no candidate of all processes is.
     async fn follow_current_peer(&mut self) -> bool {
         let Some(peer) = self.current_peer.take() else {
