Leave late aggregators alone, and use none right after a failure

Change: an answer after the goal ejects that aggregator, longer each time; after a failure this VM runs its queries itself for 1.5 s.

Tests: no_aggregator_is_used_right_after_a_failure, late_aggregator_is_ejected_alone.

--- a/crates/limpet-decide/tests/aggregator.rs
+++ b/crates/limpet-decide/tests/aggregator.rs
@@ -286,3 +286,23 @@
     ejection.record_success(addr(1));
     assert!(!ejection.is_ejected(addr(1), now));
 }
+
+/// Guards against repeat after repeat while many aggregators stand still at once: after a failure queries run in the
+/// process itself for a while.
+#[test]
+fn no_aggregator_is_used_right_after_a_failure() {
+    let mut ejection = PeerEjection::new();
+    ejection.record_failure(addr(1), Duration::from_secs(10));
+    assert!(ejection.is_ejected(addr(2), Duration::from_secs(11)));
+    assert!(!ejection.is_ejected(addr(2), Duration::from_secs(12)));
+}
+
+/// Guards against a slow aggregator that gets query after query, and against leaving the fast ones because of it.
+#[test]
+fn late_aggregator_is_ejected_alone() {
+    let mut ejection = PeerEjection::new();
+    ejection.record_late(addr(1), Duration::from_secs(10));
+    let soon = Duration::from_millis(10_400);
+    assert!(ejection.is_ejected(addr(1), soon));
+    assert!(!ejection.is_ejected(addr(2), soon));
+}
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -238,7 +238,11 @@
             missing_count,
             body,
         } => {
-            shared.peer_ejection().record_success(aggregator);
+            // A slow process answers late, and so may targets; in both cases others are tried for a while.
+            match query.arrived_at.elapsed() > query.route.latency_goal {
+                true => shared.peer_ejection().record_late(aggregator, shared.now()),
+                false => shared.peer_ejection().record_success(aggregator),
+            }
             let signatures: Result<Vec<HeaderValue>, _> = signatures
                 .iter()
                 .map(|signature| HeaderValue::from_bytes(signature))
