Send a query to an aggregator only once that reacts

In the trace a query goes to an aggregator, and 50 ms later the VM that took it from the caller sends it to the targets itself. A query that was not accepted in 20 to 40 ms ran there with one attempt less, but a busy aggregator sends its 90 first attempts before its acceptance leaves, hedges follow, and the reset of the stream comes late: 2 + 1 attempts on a route of 2.

Change: the peer reacts to a new stream before it has the request, and the caller sends the request after that. What is not accepted was not sent, so it runs here with all of its attempts; the repeat with fewer attempts and its budget are gone. It costs a round trip. Ruled out: fewer attempts at the aggregator (a route of 2 would have no hedge), a yield before the work (the reset may come late all the same).

Test: a_request_is_not_sent_to_a_peer_that_does_not_react (failed before: the peer got the request); query_is_served_although_the_aggregator_is_frozen as before.

--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -270,7 +270,6 @@
         arrived_at,
         deadline,
         fingerprint,
-        is_repeat: false,
         aggregator_count: None,
     })
 }
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -54,14 +54,12 @@
     Ended(Outcome),
     /// It did not start the query.
     NotStarted,
-    /// It did not accept the query in time and may have started it.
-    Unknown,
 }
 
 /// Runs a scatter-gather query at an aggregator if that serves the caller better, else in this process.
 ///
-/// A query that no aggregator starts runs here. One that an aggregator may have started before it fell silent
-/// runs here with one attempt less, so that no shard gets more attempts than the route allows.
+/// A query that no aggregator starts runs here. One that an aggregator has got is never started again: it may have
+/// made all attempts at a shard that the route allows.
 pub async fn run_placed_gather(query: Arc<QueryContext>, gather: &ScatterGather) -> Outcome {
     let shared = Arc::clone(&query.shared);
     let is_rate_high = shared.record_scatter_gather();
@@ -77,7 +75,6 @@
         match aggregate_at(&query, aggregator).await {
             Aggregation::Ended(outcome) => return outcome,
             Aggregation::NotStarted => refused_by.push(aggregator),
-            Aggregation::Unknown => return run_again(query, gather).await,
         }
     }
     metrics::counter!("limpet_gathers_total", "place" => "here").increment(1);
@@ -111,23 +108,6 @@
     run_scatter_gather(Arc::new(query), gather).await
 }
 
-/// Runs a query in this process that an aggregator may have started.
-async fn run_again(query: Arc<QueryContext>, gather: &ScatterGather) -> Outcome {
-    let mut route = query.route.clone();
-    if route.attempts_max < 2 {
-        return Err(RequestError::may_have_run(RequestErrorKind::OutcomeUnknown));
-    }
-    route.attempts_max -= 1;
-    metrics::counter!("limpet_gathers_total", "place" => "here_again").increment(1);
-    let query = QueryContext {
-        route,
-        is_repeat: true,
-        ..query.copy()
-    };
-    let outcome = run_scatter_gather(Arc::new(query), gather).await;
-    outcome.map_err(|error| RequestError::may_have_run(error.kind))
-}
-
 /// Chooses the aggregator for a query; returns `None` if it should run in this process.
 fn choose_aggregator(
     query: &QueryContext,
@@ -194,7 +174,6 @@
     let label = match &aggregation {
         Aggregation::Ended(_) => "aggregator",
         Aggregation::NotStarted => "refused",
-        Aggregation::Unknown => "not_accepted",
     };
     metrics::counter!("limpet_gathers_total", "place" => label).increment(1);
     aggregation
@@ -277,7 +256,6 @@
 const fn handle_error(error: &PeerError) -> Aggregation {
     match error.kind {
         _ if error.is_not_sent() => Aggregation::NotStarted,
-        PeerErrorKind::NotAccepted => Aggregation::Unknown,
         PeerErrorKind::Timeout => {
             Aggregation::Ended(Err(RequestError::may_have_run(RequestErrorKind::TimedOut)))
         }
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -33,8 +33,6 @@
     pub deadline: Instant,
     /// Hash that identifies repetitions of the same request, see [`request_fingerprint`].
     pub fingerprint: u64,
-    /// Whether an aggregator may have run the query already, so that every attempt is a repeat.
-    pub is_repeat: bool,
     /// Number of aggregators if this process is one of them and the query is a scatter-gather one.
     pub aggregator_count: Option<usize>,
 }
--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -82,10 +82,7 @@
 impl ServiceAttempts {
     /// Prepares the attempts of a query at `service`.
     pub(super) fn new(query: Arc<QueryContext>, service: &str) -> Self {
-        // The first run of a repeated query has recorded it.
-        if !query.is_repeat {
-            query.shared.record_service_request(service);
-        }
+        query.shared.record_service_request(service);
         Self {
             query,
             service: service.into(),
@@ -160,13 +157,6 @@
     /// Starts the first attempt as soon as a target has capacity; fails if the service has no target that
     /// accepts requests or the deadline is near.
     async fn start_first_attempt(&mut self) -> Result<(), ServiceError> {
-        if self.query.is_repeat && !self.query.shared.try_spend_retry(&self.service) {
-            metrics::counter!("limpet_repeats_refused_total", "cause" => "aggregator").increment(1);
-            return Err(ServiceError {
-                kind: RequestErrorKind::NoTarget,
-                is_not_run: true,
-            });
-        }
         loop {
             if self.start_attempt(false) {
                 return Ok(());
--- a/crates/limpet-peer/src/client.rs
+++ b/crates/limpet-peer/src/client.rs
@@ -94,11 +94,11 @@
             .await
     }
 
-    /// Works as [`PeerClient::call`], but gives up after `accept_timeout` unless the peer has begun to answer by
-    /// then.
+    /// Works as [`PeerClient::call`], but sends the request only once the peer reacts, and gives up if it does not
+    /// within `accept_timeout`.
     ///
-    /// A peer begins to answer as soon as it has decoded the request, so a peer that is gone or frozen is noticed
-    /// long before a reply is due. Opening a connection counts towards this timeout.
+    /// A peer begins its answer to a new stream at once, so one that is gone or frozen is noticed before it has the
+    /// request. This takes a round trip more. Opening a connection counts towards the timeout.
     ///
     /// # Errors
     ///
@@ -121,7 +121,7 @@
             .map_err(|elapsed| PeerError::new(PeerErrorKind::Unreachable, peer, elapsed))??;
         let age_at_send_us = connection.age_us();
         let timeouts = ExchangeTimeouts {
-            accept_at: started_at + accept_timeout,
+            accept_at: (accept_timeout < timeout).then_some(started_at + accept_timeout),
             reply_at: started_at + timeout,
         };
         let result = exchange(&connection, peer, kind, body.into(), timeouts).await;
@@ -179,8 +179,8 @@
 /// Points in time until which an exchange waits.
 #[derive(Clone, Copy, Debug)]
 struct ExchangeTimeouts {
-    /// When the peer must have begun to answer.
-    accept_at: Instant,
+    /// When the peer must have reacted, before the request is sent; `None` if the request is sent at once.
+    accept_at: Option<Instant>,
     /// When the whole reply must have arrived.
     reply_at: Instant,
 }
@@ -193,29 +193,31 @@
     body: Bytes,
     timeouts: ExchangeTimeouts,
 ) -> Result<PeerReply, PeerError> {
-    let timeout_error = |kind, context: &'static str| PeerError::new(kind, peer, context);
-    let accept_at = timeouts.accept_at.min(timeouts.reply_at);
-    let sent = timeout_at(accept_at, send_request(connection, peer, kind, body)).await;
-    let accept_kind = match timeouts.accept_at < timeouts.reply_at {
-        true => PeerErrorKind::NotAccepted,
-        false => PeerErrorKind::Timeout,
-    };
-    let stream = sent.map_err(|_| timeout_error(accept_kind, "no answer before the timeout"))??;
+    let timeout_error =
+        |_| PeerError::new(PeerErrorKind::Timeout, peer, "no reply before the timeout");
+    let connection_lost_error =
+        |error: h2::Error| PeerError::new(PeerErrorKind::ConnectionLost, peer, error);
+    let sent = send_request(connection, peer, kind, body, timeouts.accept_at);
+    let stream = timeout_at(timeouts.reply_at, sent)
+        .await
+        .map_err(timeout_error)??;
     let body = timeout_at(timeouts.reply_at, read_body(stream))
         .await
-        .map_err(|_| timeout_error(PeerErrorKind::Timeout, "no reply before the timeout"))?
-        .map_err(|error| PeerError::new(PeerErrorKind::ConnectionLost, peer, error))?;
+        .map_err(timeout_error)?
+        .map_err(connection_lost_error)?;
     connection.record_reply();
     message_metrics::record_received(kind, body.len());
     codec::decode(&body).map_err(|error| PeerError::new(PeerErrorKind::InvalidReply, peer, error))
 }
 
-/// Sends an encoded request on a new stream and waits until the peer begins to answer.
+/// Sends an encoded request on a new stream and waits until the peer begins to answer; with `accept_at`, sends it
+/// only after that, and not at all if the peer has not reacted by then.
 async fn send_request(
     connection: &Connection,
     peer: SocketAddr,
     kind: &'static str,
     body: Bytes,
+    accept_at: Option<Instant>,
 ) -> Result<RecvStream, PeerError> {
     let not_sent_error = |error: h2::Error| PeerError::new(PeerErrorKind::NotSent, peer, error);
     let connection_lost_error =
@@ -224,14 +226,25 @@
     let request = Request::post("http://peer/")
         .body(())
         .map_err(|error| PeerError::new(PeerErrorKind::NotSent, peer, error))?;
-    let (reply, mut stream) = sender
+    let (mut reply, mut stream) = sender
         .send_request(request, false)
         .map_err(not_sent_error)?;
+    let mut accepted = None;
+    if let Some(accept_at) = accept_at {
+        let result = timeout_at(accept_at, &mut reply).await;
+        let context = "the peer did not react before the timeout";
+        let result =
+            result.map_err(|_| PeerError::new(PeerErrorKind::NotAccepted, peer, context))?;
+        accepted = Some(result.map_err(not_sent_error)?);
+    }
     let size_bytes = body.len();
     write_body(&mut stream, body)
         .await
         .map_err(connection_lost_error)?;
     message_metrics::record_sent(kind, size_bytes);
-    let reply = reply.await.map_err(connection_lost_error)?;
+    let reply = match accepted {
+        Some(reply) => reply,
+        None => reply.await.map_err(connection_lost_error)?,
+    };
     Ok(reply.into_body())
 }
--- a/crates/limpet-peer/src/error.rs
+++ b/crates/limpet-peer/src/error.rs
@@ -20,7 +20,7 @@
     ConnectionLost,
     /// No reply arrived before the timeout.
     Timeout,
-    /// The peer did not begin to answer before the timeout for that; it may have got the request.
+    /// The peer did not react before the timeout for that, so the request was not sent.
     NotAccepted,
     /// The reply could not be decoded.
     InvalidReply,
@@ -59,7 +59,10 @@
     pub const fn is_not_sent(&self) -> bool {
         matches!(
             self.kind,
-            PeerErrorKind::ConnectionRefused | PeerErrorKind::Unreachable | PeerErrorKind::NotSent
+            PeerErrorKind::ConnectionRefused
+                | PeerErrorKind::Unreachable
+                | PeerErrorKind::NotSent
+                | PeerErrorKind::NotAccepted
         )
     }
 }
--- a/crates/limpet-peer/src/server.rs
+++ b/crates/limpet-peer/src/server.rs
@@ -190,6 +190,10 @@
     H: Fn(PeerRequest) -> F,
     F: Future<Output = PeerReply>,
 {
+    // Tells the peer that this process reacts, before the peer sends a request that it would not know the fate of.
+    let Ok(mut stream) = responder.send_response(Response::new(()), false) else {
+        return;
+    };
     let Ok(body) = read_body(request.into_body()).await else {
         return;
     };
@@ -197,15 +201,11 @@
         Ok(request) => request,
         Err(error) => {
             tracing::warn!(%error, "peer request rejected: cannot decode it");
-            responder.send_reset(h2::Reason::PROTOCOL_ERROR);
+            stream.send_reset(h2::Reason::PROTOCOL_ERROR);
             return;
         }
     };
     message_metrics::record_received(message_metrics::request_kind(&request), body.len());
-    // Tells the peer that the request has arrived, long before the reply may be due.
-    let Ok(mut stream) = responder.send_response(Response::new(()), false) else {
-        return;
-    };
     let reply = tokio::select! {
         biased;
         _ = poll_fn(|cx| stream.poll_reset(cx)) => return,
--- a/crates/limpet-peer/tests/calls.rs
+++ b/crates/limpet-peer/tests/calls.rs
@@ -119,3 +119,33 @@
         .expect("the client opened no second connection")
         .unwrap();
 }
+
+/// Guards against a peer that is slow to react, and still gets and runs a request that the caller has taken back
+/// to run it elsewhere.
+#[tokio::test]
+async fn a_request_is_not_sent_to_a_peer_that_does_not_react() {
+    let (listener, addr) = bind_listener().await;
+    let slow_peer = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut connection = h2::server::handshake(stream).await.unwrap();
+        let (request, _responder) = connection.accept().await.unwrap().unwrap();
+        // The connection has to be polled for the stream to make progress.
+        let drive = tokio::spawn(async move { while connection.accept().await.is_some() {} });
+        let received = request.into_body().data().await;
+        drive.abort();
+        received.is_some_and(|data| data.is_ok())
+    });
+    let error = PeerClient::new()
+        .call_with_accept_timeout(
+            addr,
+            &PeerRequest::Status,
+            Duration::from_millis(50),
+            TEST_TIMEOUT,
+        )
+        .await
+        .unwrap_err();
+    assert_eq!(error.kind, PeerErrorKind::NotAccepted);
+    assert!(error.is_not_sent());
+    let has_received_request = tokio::time::timeout(TEST_TIMEOUT, slow_peer).await;
+    assert!(!has_received_request.unwrap().unwrap());
+}
