Compute the shares of the shards once for a query that runs here

Cause: a query that no aggregator took walked all targets of its shards twice, on the path that is already late. Change: run_here gets the shares that the choice of an aggregator used; they may be older by the time that the refusals took, which only decides whether this process counts as an aggregator for its connections. Ruled out: keeping them between queries.

--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -78,7 +78,7 @@
         }
     }
     metrics::counter!("limpet_gathers_total", "place" => "here").increment(1);
-    run_here(query, gather).await
+    run_here(&query, gather, &shard_shares).await
 }
 
 /// Returns whether the targets of every shard can hold a connection of each process.
@@ -94,13 +94,16 @@
 }
 
 /// Runs a query in this process, with the connections of an aggregator if it is one.
-async fn run_here(query: Arc<QueryContext>, gather: &ScatterGather) -> Outcome {
+async fn run_here(
+    query: &QueryContext,
+    gather: &ScatterGather,
+    shard_shares: &[(Box<str>, f64)],
+) -> Outcome {
     let shared = &query.shared;
-    let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
     let own_addr = shared.settings.peer_addr;
     let aggregator_count = shared
         .aggregators()
-        .primary_count_with(own_addr, &shard_shares);
+        .primary_count_with(own_addr, shard_shares);
     let query = QueryContext {
         aggregator_count,
         ..query.copy()
