--- a/crates/limpet-testkit/src/lib.rs
+++ b/crates/limpet-testkit/src/lib.rs
@@ -27,3 +27,31 @@
         )+
     };
 }
+
+/// Defines one asynchronous test per case, like [`cases`]; the test file must depend on `tokio`.
+///
+/// # Examples
+///
+/// ```
+/// limpet_testkit::async_cases! {
+///     doubles:
+///     zero => (0, 0),
+///     three => (3, 6),
+/// }
+///
+/// async fn doubles((input, expected): (u32, u32)) {
+///     assert_eq!(input * 2, expected);
+/// }
+/// ```
+#[macro_export]
+macro_rules! async_cases {
+    ($test:ident: $($(#[$meta:meta])* $name:ident => $arg:expr),+ $(,)?) => {
+        $(
+            $(#[$meta])*
+            #[tokio::test]
+            async fn $name() {
+                $test($arg).await;
+            }
+        )+
+    };
+}
