Bound the age of the deployment state over all waits for other processes

What callers saw: with the zone of the first three VMs cut off, the other VMs, which reached the store, answered by the old configuration for up to 3.6 s after a change and sent to leaving targets (bound 3 s).

Cause: a process asked its readers one after the other, each for up to 0.8 s + 0.5 s, before it asked the source.

Change: limpet-decide::refresh plans whom a process asks, for how long, and when it gives up, from the age of its state. The age must stay below 0.85 of the shortest bound of a change; a quarter of that is kept for two calls to the source. A process that did not answer is passed over for 3 s. A state with a lower revision is not followed. The age counts from a time that is certain, and includes the time for which a VM was suspended.

--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod plan;
 pub mod pool;
 pub mod quarantine;
+pub mod refresh;
 pub mod replica;
 pub mod retry;
 pub mod revision;
--- a/crates/limpet-gateway/src/admin.rs
+++ b/crates/limpet-gateway/src/admin.rs
@@ -111,7 +111,6 @@
 
 /// Renders the state of the process as lines of text.
 fn status_page(shared: &SharedState) -> String {
-    let now = shared.now();
     let config_version = shared
         .route_table
         .load()
@@ -119,6 +118,7 @@
         .map(|route_table| route_table.config().version);
     let (target_count, connection_count) = shared.fleet().target_and_connection_counts();
     let process_counts = shared.rate_limiter().process_counts();
+    let now = shared.suspend_aware_now();
     let deployment_state = shared.deployment_state();
     format!(
         "name {}\nzone {}\nready {}\ndraining {}\ntext version {config_version:?}\nrevision {}\n\
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -219,7 +219,7 @@
     let mut round = 0_u32;
     loop {
         ticks.tick().await;
-        let now = shared.now();
+        let now = shared.suspend_aware_now();
         let has_removed = shared.deployment_state().remove_lapsed_targets(now);
         if has_removed {
             shared.sync_fleet();
--- a/crates/limpet-gateway/src/settings.rs
+++ b/crates/limpet-gateway/src/settings.rs
@@ -5,6 +5,8 @@
     time::Duration, //
 };
 
+use limpet_decide::refresh::RefreshLimits;
+
 use crate::{
     members::MembershipLimits,
     retry_budget::RetryLimits, //
@@ -33,6 +35,8 @@
     pub retry_limits: RetryLimits,
     /// Limits for the discovery and the failure detection of other processes.
     pub membership_limits: MembershipLimits,
+    /// Limits of the age of the deployment state.
+    pub refresh_limits: RefreshLimits,
     /// Time for which a target stays in use after its record lapsed around an outage of the source.
     pub lapse_grace: Duration,
     /// Processor capacity of the process in cores, by which aggregators are chosen.
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -204,16 +204,15 @@
         lock(&self.aggregators)
     }
 
-    /// Returns whom this process follows for the state of the deployment.
-    pub fn readers(&self) -> Readers {
-        let live_addrs = self.membership().live_addrs(self.now());
+    /// Returns whom this process follows for the state of the deployment, chosen from the live processes.
+    pub fn readers(&self, live_addrs: &[SocketAddr]) -> Readers {
         let aggregators = self.aggregators();
         let live: Vec<ReaderRank<'_>> = live_addrs
-            .into_iter()
+            .iter()
             .map(|addr| {
-                let node = aggregators.node(addr);
+                let node = aggregators.node(*addr);
                 ReaderRank {
-                    addr,
+                    addr: *addr,
                     zone: node.map(|node| &*node.zone),
                     capacity_millicores: node.map_or(0, AggregatorNode::capacity_millicores),
                 }
@@ -300,6 +299,12 @@
         self.clock.now()
     }
 
+    /// Returns the time since the start of the process, including the time for which the VM was suspended. The
+    /// deployment state is timed by this clock, because the deployment changes meanwhile.
+    pub fn suspend_aware_now(&self) -> Duration {
+        self.clock.suspend_aware_now()
+    }
+
     /// Runs a task beside the request that starts it; it is cancelled at the end of the process at the latest.
     pub fn spawn_background(&self, task: impl Future<Output = ()> + Send + 'static) {
         let mut background_tasks = lock(&self.background_tasks);
--- a/crates/limpet-gateway/src/source.rs
+++ b/crates/limpet-gateway/src/source.rs
@@ -14,7 +14,9 @@
 pub enum SourceErrorKind {
     /// The source no longer has the changes after the requested revision.
     HistoryGone,
-    /// The source did not answer or rejected the request.
+    /// The connection ended, or the time was over, before the source answered; another call may succeed.
+    Interrupted,
+    /// The source does not serve this process.
     Unavailable,
 }
 
--- a/crates/limpet-gateway/src/state_updater.rs
+++ b/crates/limpet-gateway/src/state_updater.rs
@@ -11,6 +11,13 @@
 };
 
 use futures::future::join_all;
+use limpet_decide::refresh::{
+    PeerAnswer,
+    RefreshPlanner,
+    RefreshStep,
+    RefreshView,
+    SourceAnswer, //
+};
 use limpet_peer::PeerClient;
 use limpet_types::{
     deployment::StateUpdate,
@@ -33,34 +40,17 @@
     shared_state::SharedState,
     source::{
         Source,
+        SourceError,
         SourceErrorKind, //
     },
 };
 
-/// Longest time for which the source delays its reply to a watch while nothing changes.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
-/// Longest time for which the source delays its reply to the watch after one with changes. The age of the state
-/// counts from the request of a watch that returned changes, so the next reply must not take long.
-const WATCH_WAIT_AFTER_CHANGES: Duration = Duration::from_millis(300);
-/// Longest time for which a process delays its reply while nothing changes, to a follower that others follow in
-/// turn.
-const READER_FOLLOW_WAIT: Duration = Duration::from_millis(400);
-/// Longest time for which a process delays its reply to another follower while nothing changes.
-const FOLLOW_WAIT: Duration = Duration::from_millis(800);
-/// Time beyond the requested wait after which a reply counts as missing.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
-/// Age of the state beyond which a process is not current. While its watches return in time, its state is at most
-/// as old as a watch, the delay after changes and the next watch take together.
-const CURRENT_AGE_MAX: Duration = Duration::from_millis(1600);
+/// Time after a request to another process within which a reply counts as missing at the start of this process.
+const START_REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a reply of the source with changes, so that the next reply holds several changes at once.
 const BATCH_DELAY: Duration = Duration::from_millis(120);
 /// Timeout of a read of the whole state, which takes many calls.
 const FULL_READ_TIMEOUT: Duration = Duration::from_secs(5);
-/// Delay after a failed read of the source; up to the same again is added as jitter.
-const RETRY_DELAY_MIN: Duration = Duration::from_millis(150);
-/// Longest delay of a process that the others do not try to follow. Such a process may wait longer: once the
-/// source answers again, it gets the state from the first ones that notice.
-const RETRY_DELAY_MAX: Duration = Duration::from_millis(1000);
 /// Time after its start until which a process waits to hear another one.
 const PEERS_WAIT_MAX: Duration = Duration::from_millis(1000);
 /// Interval at which a process checks during that time whether it has heard another one.
@@ -92,26 +82,20 @@
     /// Whether the source no longer has the changes after the revision of this process, so that the whole
     /// state must be read.
     needs_full_read: bool,
-    /// Longest time for which the source delays its reply to the next watch.
-    watch_wait: Duration,
-    /// Delay after the next failed read of the source, without jitter.
-    retry_delay: Duration,
-    /// Process that was current when it was followed last, other than the candidates of all processes.
-    current_peer: Option<SocketAddr>,
+    planner: RefreshPlanner,
 }
 
 impl StateUpdater {
     /// Creates the task.
     pub fn new(shared: Arc<SharedState>, source: Arc<Source>) -> Self {
+        let planner = RefreshPlanner::new(shared.settings.refresh_limits);
         Self {
             shared,
             source,
             peer_client: PeerClient::new(),
             source_status: SourceStatus::Unknown,
             needs_full_read: false,
-            watch_wait: WATCH_WAIT,
-            retry_delay: RETRY_DELAY_MIN,
-            current_peer: None,
+            planner,
         }
     }
 
@@ -124,30 +108,41 @@
             if self.shared.deployment_state().revision() == 0 {
                 self.adopt_newest_state().await;
             }
-            if self.follow_reader().await
-                || self.follow_current_peer().await
-                || (self.should_ask_source() && self.read_source().await)
-            {
-                self.retry_delay = RETRY_DELAY_MIN;
-                self.wait_for_peers().await;
-                continue;
-            }
-            // The source does not answer this process, but another process may have a later state.
-            if let Some(peer) = self.random_peer()
-                && self.follow(peer, Duration::ZERO).await
-            {
-                self.current_peer = Some(peer);
-                continue;
+            match self.next_step() {
+                RefreshStep::AskPeer {
+                    peer,
+                    hold_max,
+                    timeout,
+                } => self.follow(peer, hold_max, timeout).await,
+                RefreshStep::AskSource { hold_max, timeout } => {
+                    self.ask_source(hold_max, timeout).await;
+                }
+                RefreshStep::Wait(delay) => sleep(delay).await,
             }
-            let jitter = rand::rng().random_range(0.0..1.0);
-            sleep(self.retry_delay + self.retry_delay.mul_f64(jitter)).await;
-            self.retry_delay = match self.shared.readers().has_followers {
-                true => RETRY_DELAY_MIN,
-                false => (self.retry_delay * 2).min(RETRY_DELAY_MAX),
-            };
         }
     }
 
+    /// Returns the next step by which this process keeps its state current.
+    fn next_step(&mut self) -> RefreshStep {
+        let shared = &self.shared;
+        let live_addrs = shared.membership().live_addrs(shared.now());
+        let readers = shared.readers(&live_addrs);
+        let now = shared.suspend_aware_now();
+        let age = {
+            let deployment_state = shared.deployment_state();
+            let has_state = deployment_state.revision() > 0;
+            has_state.then(|| deployment_state.age(now).unwrap_or(Duration::MAX))
+        };
+        let view = RefreshView {
+            age,
+            own_addr: shared.settings.peer_addr,
+            readers: &readers,
+            live_addrs: &live_addrs,
+        };
+        let draw = || rand::rng().random_range(0.0..1.0);
+        self.planner.next_step(&view, now, draw)
+    }
+
     /// Waits until another process was heard, at most until some time after the start; returns at once if there
     /// is none to be heard.
     ///
@@ -168,11 +163,11 @@
         let mut peers = self.live_peers();
         peers.shuffle(&mut rand::rng());
         peers.truncate(START_PEERS_MAX);
-        let asked_at = self.shared.now();
+        let asked_at = self.shared.suspend_aware_now();
         let replies = join_all(
             peers
                 .iter()
-                .map(|peer| self.request_update(*peer, Duration::ZERO)),
+                .map(|peer| self.request_update(*peer, Duration::ZERO, START_REPLY_TIMEOUT)),
         );
         let updates = replies.await.into_iter().flatten();
         let newest = updates.max_by_key(|update| (update.revision, Reverse(update.age)));
@@ -187,45 +182,6 @@
         }
     }
 
-    /// Returns whether this process asks the source although others may do so; one without any state always does.
-    fn should_ask_source(&self) -> bool {
-        let has_state = self.shared.deployment_state().revision() > 0;
-        let probability = self.shared.readers().probe_probability;
-        !has_state || rand::rng().random_range(0.0..1.0) < probability
-    }
-
-    /// Follows the process that was current last, if no candidate of all processes is.
-    async fn follow_current_peer(&mut self) -> bool {
-        let Some(peer) = self.current_peer.take() else {
-            return false;
-        };
-        let is_current = self.follow(peer, FOLLOW_WAIT).await;
-        self.current_peer = is_current.then_some(peer);
-        is_current
-    }
-
-    /// Follows the first candidate that is current; returns false if this process has to read the source.
-    ///
-    /// All processes try the same candidates in the same order, so that few processes read the source even
-    /// if the source does not answer the first candidate.
-    async fn follow_reader(&mut self) -> bool {
-        let own_addr = self.shared.settings.peer_addr;
-        let readers = self.shared.readers();
-        let wait_max = match readers.has_followers {
-            true => READER_FOLLOW_WAIT,
-            false => FOLLOW_WAIT,
-        };
-        for reader in readers.candidates {
-            if reader == own_addr {
-                return false;
-            }
-            if self.follow(reader, wait_max).await {
-                return true;
-            }
-        }
-        false
-    }
-
     /// Returns the addresses of the other live processes.
     fn live_peers(&self) -> Vec<SocketAddr> {
         let own_addr = self.shared.settings.peer_addr;
@@ -234,106 +190,141 @@
         live_addrs
     }
 
-    /// Returns the address of a random other live process, or `None` if there is none.
-    fn random_peer(&self) -> Option<SocketAddr> {
-        let peers = self.live_peers();
-        let index = rand::rng().random_range(0..peers.len().max(1));
-        peers.get(index).copied()
-    }
-
-    /// Asks another process for changes; returns `None` if it does not answer.
+    /// Asks another process for changes; returns `None` if it does not answer in time.
     ///
-    /// The other process delays its reply by up to `wait_max` while nothing changes.
-    async fn request_update(&self, peer: SocketAddr, wait_max: Duration) -> Option<StateUpdate> {
+    /// The other process delays its reply by up to `hold_max` while nothing changes.
+    async fn request_update(
+        &self,
+        peer: SocketAddr,
+        hold_max: Duration,
+        reply_timeout: Duration,
+    ) -> Option<StateUpdate> {
         let request = PeerRequest::Follow(FollowRequest {
             after_revision: self.shared.deployment_state().revision(),
-            wait_max,
+            wait_max: hold_max,
         });
-        let reply = self
-            .peer_client
-            .call(peer, &request, wait_max + REPLY_TIMEOUT);
-        match reply.await {
+        match self.peer_client.call(peer, &request, reply_timeout).await {
             Ok(PeerReply::Follow(update)) => Some(update),
             Ok(_) => {
                 tracing::warn!(%peer, "process does not support follow requests");
                 None
             }
             Err(error) => {
-                tracing::info!(%peer, %error, "process cannot be followed");
+                tracing::info!(
+                    %peer, %error, timeout_ms = reply_timeout.as_millis() as u64,
+                    "process cannot be followed"
+                );
                 None
             }
         }
     }
 
-    /// Asks another process for changes, and applies them; returns whether that process is current.
-    async fn follow(&mut self, peer: SocketAddr, wait_max: Duration) -> bool {
-        let requested_at = self.shared.now();
-        let Some(update) = self.request_update(peer, wait_max).await else {
-            return false;
-        };
-        let is_current = update.age <= CURRENT_AGE_MAX;
+    /// Asks another process for changes, and applies them.
+    async fn follow(&mut self, peer: SocketAddr, hold_max: Duration, reply_timeout: Duration) {
+        let requested_at = self.shared.suspend_aware_now();
+        let own_revision = self.shared.deployment_state().revision();
+        let update = self.request_update(peer, hold_max, reply_timeout).await;
+        let answer = update.map_or(PeerAnswer::Missing, |update| {
+            self.apply_peer_update(peer, &update, own_revision, requested_at, hold_max)
+        });
+        count_answer("peer", answer.label());
+        let now = self.shared.suspend_aware_now();
+        self.planner.record_peer_answer(peer, answer, now);
+    }
+
+    /// Applies the reply of another process to a call sent at `requested_at` by a process at `own_revision`.
+    fn apply_peer_update(
+        &self,
+        peer: SocketAddr,
+        update: &StateUpdate,
+        own_revision: u64,
+        requested_at: Duration,
+        hold_max: Duration,
+    ) -> PeerAnswer {
+        let is_young = update.age <= self.shared.settings.refresh_limits.current_age_max();
+        let is_current = is_young && update.revision >= own_revision;
         if !is_current {
             tracing::info!(
-                %peer, age_ms = update.age.as_millis(), revision = update.revision,
-                "state of the followed process is too old"
+                %peer, age_ms = update.age.as_millis() as u64, revision = update.revision,
+                own_revision, "state of the followed process is too old"
             );
         }
-        // Without changes the age was measured at the reply, which may come long after the request.
-        let as_of = match update.changes.is_empty() {
-            true => self.shared.now(),
+        // How long the reply was on its way is not known. Only a current process without changes delays it.
+        let is_held = is_young && update.revision == own_revision;
+        let as_of = match is_held {
+            true => (requested_at + hold_max).min(self.shared.suspend_aware_now()),
             false => requested_at,
         };
-        apply_update(&self.shared, &update, as_of);
-        is_current
+        apply_update(&self.shared, update, as_of);
+        match is_current {
+            true => PeerAnswer::Current,
+            false => PeerAnswer::Outdated,
+        }
     }
 
-    /// Reads the whole state from the source, or watches the source for changes, and applies the reply;
-    /// returns whether the source answered.
-    async fn read_source(&mut self) -> bool {
-        let requested_at = self.shared.now();
+    /// Reads the whole state from the source, or watches the source for changes, and applies the reply.
+    async fn ask_source(&mut self, hold_max: Duration, reply_timeout: Duration) {
+        let requested_at = self.shared.suspend_aware_now();
         let revision = self.shared.deployment_state().revision();
         let is_full_read = revision == 0 || self.needs_full_read;
-        let reply = match is_full_read {
-            true => (self.source.read)(),
-            false => (self.source.watch)(revision, self.watch_wait),
-        };
-        let reply_timeout = match is_full_read {
-            true => FULL_READ_TIMEOUT,
-            false => WATCH_WAIT + REPLY_TIMEOUT,
+        let (reply, reply_timeout) = match is_full_read {
+            true => ((self.source.read)(), FULL_READ_TIMEOUT),
+            false => ((self.source.watch)(revision, hold_max), reply_timeout),
         };
-        let result = timeout(reply_timeout, reply).await;
-        let context = match result {
+        let error = match timeout(reply_timeout, reply).await {
             Ok(Ok(update)) => {
                 self.needs_full_read = false;
-                self.set_source_status(SourceStatus::Up, "");
-                let has_changes = !update.changes.is_empty();
-                let as_of = match is_full_read || has_changes {
-                    true => requested_at,
-                    false => self.shared.now(),
-                };
-                apply_update(&self.shared, &update, as_of);
-                self.watch_wait = WATCH_WAIT;
-                if has_changes {
-                    self.watch_wait = WATCH_WAIT_AFTER_CHANGES;
-                    sleep(BATCH_DELAY).await;
-                }
-                return true;
+                self.apply_source_update(&update, is_full_read, requested_at, hold_max)
+                    .await;
+                return;
             }
-            Ok(Err(error)) if error.kind == SourceErrorKind::HistoryGone => {
+            Ok(Err(error)) => error,
+            Err(_) => SourceError::new(SourceErrorKind::Interrupted, "no reply in time"),
+        };
+        let answer = match error.kind {
+            SourceErrorKind::HistoryGone => {
                 tracing::info!(
                     revision,
                     "source no longer has the changes after this revision, reading the whole state"
                 );
                 self.needs_full_read = true;
-                return true;
+                SourceAnswer::Answered
             }
-            Ok(Err(error)) => error.context,
-            Err(_) => "no reply in time".into(),
+            SourceErrorKind::Interrupted => SourceAnswer::Interrupted,
+            SourceErrorKind::Unavailable => SourceAnswer::Rejected,
         };
-        let now = self.shared.now();
-        self.shared.deployment_state().record_source_failure(now);
-        self.set_source_status(SourceStatus::Down, &context);
-        false
+        count_answer("source", answer.label());
+        if self.planner.record_source_answer(answer, false) {
+            self.shared
+                .deployment_state()
+                .record_source_failure(requested_at);
+            self.set_source_status(SourceStatus::Down, &error.context);
+        }
+    }
+
+    /// Applies a reply of the source to a call sent at `requested_at`.
+    async fn apply_source_update(
+        &mut self,
+        update: &StateUpdate,
+        is_full_read: bool,
+        requested_at: Duration,
+        hold_max: Duration,
+    ) {
+        self.set_source_status(SourceStatus::Up, "");
+        let has_changes = !update.changes.is_empty();
+        // A reply without changes was delayed, but how long it was on its way is not known.
+        let as_of = match is_full_read || has_changes {
+            true => requested_at,
+            false => (requested_at + hold_max).min(self.shared.suspend_aware_now()),
+        };
+        apply_update(&self.shared, update, as_of);
+        count_answer("source", SourceAnswer::Answered.label());
+        self.planner
+            .record_source_answer(SourceAnswer::Answered, has_changes);
+        self.wait_for_peers().await;
+        if has_changes {
+            sleep(BATCH_DELAY).await;
+        }
     }
 
     /// Stores the status of the source and logs it if it changed.
@@ -345,7 +336,7 @@
         let age_ms = self
             .shared
             .deployment_state()
-            .age(self.shared.now())
+            .age(self.shared.suspend_aware_now())
             .map(|age| age.as_millis() as u64);
         match status {
             SourceStatus::Up => tracing::info!(age_ms, "source answers"),
@@ -356,14 +347,22 @@
     }
 }
 
+/// Counts the outcome of a call to another process or the source.
+fn count_answer(asked: &'static str, outcome: &'static str) {
+    metrics::counter!("limpet_state_calls_total", "asked" => asked, "outcome" => outcome)
+        .increment(1);
+}
+
 /// Returns the changes that a follower asks for: at once if its revision differs from that of this process or
 /// this process is not current, else after the next change or the requested wait.
 pub async fn serve_follower(shared: &SharedState, request: FollowRequest) -> StateUpdate {
     let mut revision_receiver = shared.subscribe_revisions();
     let is_up_to_date = {
         let deployment_state = shared.deployment_state();
-        let age = deployment_state.age(shared.now()).unwrap_or(Duration::MAX);
-        deployment_state.revision() == request.after_revision && age <= CURRENT_AGE_MAX
+        let age = deployment_state.age(shared.suspend_aware_now());
+        let is_current =
+            age.is_some_and(|age| age <= shared.settings.refresh_limits.current_age_max());
+        is_current && deployment_state.revision() == request.after_revision
     };
     if is_up_to_date {
         let next_change =
@@ -373,13 +372,13 @@
     }
     shared
         .deployment_state()
-        .update_since(request.after_revision, shared.now())
+        .update_since(request.after_revision, shared.suspend_aware_now())
 }
 
 /// Applies an update to the state of the deployment and to everything that is derived from it; `as_of` is the
 /// time to which the age of the update refers.
 pub fn apply_update(shared: &SharedState, update: &StateUpdate, as_of: Duration) {
-    let now = shared.now();
+    let now = shared.suspend_aware_now();
     let effect = shared.deployment_state().apply(update, as_of, now);
     if effect.has_new_config {
         shared.install_config();
--- a/crates/limpet-gateway/tests/follower.rs
+++ b/crates/limpet-gateway/tests/follower.rs
@@ -260,3 +260,54 @@
     }
     assert_eq!(views[1].source_call_count(), calls_before);
 }
+
+/// Checks that a process whose first candidates are heard but do not answer applies every change in time.
+async fn changes_pass_by_frozen_readers(frozen_count: usize) {
+    let target = FakeTarget::always(Behaviour::Answer(200, b"good", Duration::ZERO)).await;
+    let deployment = Deployment::new();
+    let routes = vec![route("/one/", Idempotency::Idempotent, "s")];
+    deployment.publish_config(config(1, routes.clone(), &["s"]));
+    deployment.publish_target("t", target_record("s", target.addr));
+    // The candidates have lower addresses.
+    let peer_ips: Vec<String> = (0..frozen_count).map(|_| unused_loopback_ip()).collect();
+    let settings = settings(&unused_loopback_ip(), PEER_PORT).await;
+    let mut peers = Vec::new();
+    for ip in &peer_ips {
+        peers.push(FakePeer::start_frozen(ip, 1.0, &[settings.peer_addr]).await);
+    }
+    let gateway = RunningGateway::start_with(settings, &deployment).await;
+    gateway.wait_ready().await;
+    for (version, delay_ms) in (2..).zip([50, 1050, 1550]) {
+        // A change right after the end of a call to the source, which takes up to a second, waits longest for the
+        // next one.
+        let calls_before = deployment.source_call_count();
+        while deployment.source_call_count() == calls_before {
+            sleep(Duration::from_millis(1)).await;
+        }
+        sleep(Duration::from_millis(delay_ms)).await;
+        let path = format!("/{version}/");
+        let routes = vec![route(&path, Idempotency::Idempotent, "s")];
+        deployment.publish_config(config(version, routes, &["s"]));
+        let took = wait_until_served(&gateway, &format!("{path}a")).await;
+        assert!(took < APPLY_TIMEOUT, "the change took {took:?}");
+    }
+}
+
+macro_rules! frozen_reader_tests {
+    ($($name:ident => $frozen_count:expr;)+) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                changes_pass_by_frozen_readers($frozen_count).await;
+            }
+        )+
+    };
+}
+
+// Guards against a process that asks lost processes one after the other, each for its whole timeout, before it
+// asks the source.
+frozen_reader_tests! {
+    changes_pass_by_one_frozen_reader => 1;
+    changes_pass_by_two_frozen_readers => 2;
+    changes_pass_by_three_frozen_readers => 3;
+}
--- a/crates/limpet-gateway/tests/support/deployment.rs
+++ b/crates/limpet-gateway/tests/support/deployment.rs
@@ -13,6 +13,7 @@
 };
 
 use http::HeaderName;
+use limpet_decide::refresh::RefreshLimits;
 use limpet_gateway::{
     HeaderNames,
     Settings,
@@ -305,6 +306,7 @@
             discovery_time: Duration::ZERO,
             report_to_seeds_below: 3,
         },
+        refresh_limits: RefreshLimits::new(Duration::from_millis(2550)),
         lapse_grace: Duration::from_secs(2),
         capacity_cores: 1.0,
         body_memory_bytes: 1 << 20,
