Do not take one interrupted call for an outage, and end grace periods in time

What callers saw: orders sent to a target 3.3 s after its record was removed (bound 3 s), one of them lost (502), if the store cut a waiting watch at that moment.

Cause: one failed call counted as an outage. The reader then followed its own follower for up to 1.6 s, and kept the removed target for 2 s from when it noticed the removal, plus the time until the next maintenance round.

Change: a call that ends without an answer is repeated at once; an outage is what fails twice or is rejected. The grace period counts from the return of the source, ends before the bounds hold again, and within the greatest age of the state if the removal may have been made outside an outage (limpet-decide::refresh::SourceOutage). A request that waited for a connection is not sent to a target that began to leave meanwhile.

--- a/crates/limpet-decide/src/refresh/mod.rs
+++ b/crates/limpet-decide/src/refresh/mod.rs
@@ -6,12 +6,17 @@
 //! process ends early enough to ask the source, twice if the first call is lost.
 
 mod limits;
+mod outage;
 mod planner;
 mod step;
 mod view;
 
 pub use self::{
     limits::RefreshLimits,
+    outage::{
+        LapseLimits,
+        SourceOutage, //
+    },
     planner::RefreshPlanner,
     step::{
         PeerAnswer,
--- a/crates/limpet-gateway/src/deployment_state.rs
+++ b/crates/limpet-gateway/src/deployment_state.rs
@@ -11,6 +11,10 @@
     time::Duration,
 };
 
+use limpet_decide::refresh::{
+    LapseLimits,
+    SourceOutage, //
+};
 use limpet_types::deployment::{
     Change,
     Config,
@@ -70,16 +74,13 @@
     change_log_start: u64,
     /// How old this state was at a point in time; `None` if it was never known to be the latest one.
     known_age: Option<KnownAge>,
-    /// Time since the start of the process at which the source failed last.
-    source_failed_at: Option<Duration>,
-    /// Time for which a target stays in use after its record lapsed around an outage of the source.
-    lapse_grace: Duration,
+    /// Latest outage of the source.
+    outage: SourceOutage,
 }
 
 impl DeploymentState {
-    /// Creates an empty state; `lapse_grace` is the grace period of targets whose record lapsed around an
-    /// outage.
-    pub fn new(lapse_grace: Duration) -> Self {
+    /// Creates an empty state.
+    pub fn new(lapse_limits: LapseLimits) -> Self {
         Self {
             revision: 0,
             config: None,
@@ -90,8 +91,7 @@
             change_log: VecDeque::new(),
             change_log_start: 0,
             known_age: None,
-            source_failed_at: None,
-            lapse_grace,
+            outage: SourceOutage::new(lapse_limits),
         }
     }
 
@@ -125,10 +125,10 @@
         self.known_age.map(|known_age| known_age.at(now))
     }
 
-    /// Records that the source did not answer, so that targets whose records lapse soon after are kept for
-    /// the grace period.
-    pub fn record_source_failure(&mut self, now: Duration) {
-        self.source_failed_at = Some(now);
+    /// Records that the source did not answer a call sent at `sent_at`, so that targets whose records lapse soon
+    /// after are kept for the grace period.
+    pub fn record_source_failure(&mut self, sent_at: Duration) {
+        self.outage.record_failure(sent_at);
     }
 
     /// Applies an update from the source or another process; `as_of` is the time to which the age of the
@@ -139,25 +139,35 @@
         if update.revision < self.revision {
             return effect;
         }
+        let verified_at = self.verified_at();
+        self.record_age(update, as_of, now);
         if update.is_full_state {
-            effect.has_target_changes |= self.remove_missing(update, now);
+            effect.has_target_changes |= self.remove_missing(update, verified_at, now);
             self.change_log.clear();
             self.change_log_start = update.revision;
         }
         for versioned in &update.changes {
-            self.apply_change(versioned, &mut effect, now);
+            self.apply_change(versioned, &mut effect, verified_at, now);
         }
-        self.record_age(update, as_of);
         self.revision = update.revision;
         effect
     }
 
+    /// Returns when this state was last known to be the latest; `None` if never, or before this process started.
+    fn verified_at(&self) -> Option<Duration> {
+        let known_age = self.known_age?;
+        known_age.as_of.checked_sub(known_age.age)
+    }
+
     /// Records the age of an update, unless this state is known to be younger or the sender never knew how old
     /// its own was.
-    fn record_age(&mut self, update: &StateUpdate, as_of: Duration) {
+    fn record_age(&mut self, update: &StateUpdate, as_of: Duration, now: Duration) {
         if update.age == Duration::MAX {
             return;
         }
+        if let Some(verified_at) = as_of.checked_sub(update.age) {
+            self.outage.record_verified(verified_at, now);
+        }
         let age = KnownAge {
             age: update.age,
             as_of,
@@ -207,6 +217,11 @@
         !expired.is_empty()
     }
 
+    /// Returns when the next grace period of a lapsed target ends; `None` if no target lapsed.
+    pub fn next_lapse_end(&self) -> Option<Duration> {
+        self.lapsed_targets.values().min().copied()
+    }
+
     /// Returns the whole state as a list of changes; targets whose record lapsed are left out.
     fn all_changes(&self) -> Vec<VersionedChange> {
         let mut changes = Vec::new();
@@ -227,7 +242,12 @@
 
     /// Removes the targets and disabled zones that a full state does not contain; returns whether any was
     /// removed at once, not only after the grace period.
-    fn remove_missing(&mut self, update: &StateUpdate, now: Duration) -> bool {
+    fn remove_missing(
+        &mut self,
+        update: &StateUpdate,
+        verified_at: Option<Duration>,
+        now: Duration,
+    ) -> bool {
         let mut listed_targets = BTreeSet::new();
         let mut listed_zones = BTreeSet::new();
         for versioned in &update.changes {
@@ -251,7 +271,7 @@
             .collect();
         let mut is_changed = false;
         for id in &missing {
-            is_changed |= self.remove_target(id, now);
+            is_changed |= self.remove_target(id, verified_at, now);
         }
         let zone_count_before = self.disabled_zones.len();
         self.disabled_zones
@@ -265,6 +285,7 @@
         &mut self,
         versioned: &VersionedChange,
         effect: &mut UpdateEffect,
+        verified_at: Option<Duration>,
         now: Duration,
     ) {
         let revision = versioned.revision;
@@ -295,7 +316,7 @@
                 if known_target.is_none_or(|(known_revision, _)| *known_revision >= revision) {
                     return;
                 }
-                effect.has_target_changes |= self.remove_target(id, now);
+                effect.has_target_changes |= self.remove_target(id, verified_at, now);
             }
             Change::ZoneDisabled(zone) => {
                 let previous = self.disabled_zones.insert(zone.clone(), revision);
@@ -347,22 +368,19 @@
         true
     }
 
-    /// Removes a target at once, or after the grace period if the source has failed recently; returns whether
-    /// it was removed at once.
-    ///
-    /// An outage of the source can make records lapse although their targets still run.
-    fn remove_target(&mut self, id: &TargetId, now: Duration) -> bool {
-        let outage_window = self.lapse_grace * 2;
-        let has_source_failed = self
-            .source_failed_at
-            .is_some_and(|failed_at| now < failed_at + outage_window);
-        if has_source_failed {
-            let grace_end = *self
-                .lapsed_targets
-                .entry(id.clone())
-                .or_insert(now + self.lapse_grace);
+    /// Removes a target at once, or after the grace period if its record lapsed around an outage of the source;
+    /// returns whether it was removed at once. `verified_at` is when the state before was known to be the latest.
+    fn remove_target(
+        &mut self,
+        id: &TargetId,
+        verified_at: Option<Duration>,
+        now: Duration,
+    ) -> bool {
+        if let Some(lapse_end) = self.outage.lapse_end(verified_at, now) {
+            let lapse_end = *self.lapsed_targets.entry(id.clone()).or_insert(lapse_end);
             tracing::info!(
-                target_id = %id, ends_ms = grace_end.as_millis(),
+                target_id = %id, ends_ms = lapse_end.as_millis() as u64,
+                left_ms = lapse_end.saturating_sub(now).as_millis() as u64,
                 "target record lapsed after a source failure, target kept for the grace period"
             );
             return false;
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -23,7 +23,6 @@
     task::JoinSet,
     time::{
         Instant,
-        interval,
         sleep,
         timeout, //
     },
@@ -52,7 +51,7 @@
 
 /// Delay before a task that panicked is started anew.
 const TASK_RESTART_DELAY: Duration = Duration::from_millis(100);
-/// Time between two maintenance rounds; each round removes lapsed targets.
+/// Longest time between two maintenance rounds; each round removes lapsed targets.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 /// One in this many maintenance rounds also closes expired connections and updates gauges, which costs more.
 const ROUNDS_PER_FULL_MAINTENANCE: u32 = 8;
@@ -215,10 +214,12 @@
 
 /// Removes lapsed targets, closes expired connections and updates gauges.
 async fn run_maintenance(shared: Arc<SharedState>, recorder: Option<PrometheusHandle>) {
-    let mut ticks = interval(MAINTENANCE_INTERVAL);
     let mut round = 0_u32;
     loop {
-        ticks.tick().await;
+        let lapse_end = shared.deployment_state().next_lapse_end();
+        let now = shared.suspend_aware_now();
+        let lapse_time = lapse_end.map_or(Duration::MAX, |end| end.saturating_sub(now));
+        sleep(lapse_time.min(MAINTENANCE_INTERVAL)).await;
         let now = shared.suspend_aware_now();
         let has_removed = shared.deployment_state().remove_lapsed_targets(now);
         if has_removed {
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -71,7 +71,7 @@
         }
         Err(error) => {
             match error.kind {
-                AttemptErrorKind::ConnectionLimit => {}
+                AttemptErrorKind::ConnectionLimit | AttemptErrorKind::Leaving => {}
                 AttemptErrorKind::Unreachable | AttemptErrorKind::Timeout => {
                     target.health().record_no_reply(now);
                 }
@@ -153,6 +153,11 @@
     loop {
         let (connection, reservation) =
             acquire_connection(query, target, connections_limit).await?;
+        // Opening a connection takes time, in which the target may have begun to leave.
+        if target.is_leaving() {
+            let context = "the target leaves";
+            return Err(AttemptError::new(AttemptErrorKind::Leaving, context));
+        }
         let is_reused = connection.is_reused();
         let request = build_target_request(query, target)?;
         let limits = reply_limits(query);
--- a/crates/limpet-gateway/src/settings.rs
+++ b/crates/limpet-gateway/src/settings.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use limpet_decide::refresh::RefreshLimits;
+use limpet_decide::refresh::{
+    LapseLimits,
+    RefreshLimits, //
+};
 
 use crate::{
     members::MembershipLimits,
@@ -37,8 +40,8 @@
     pub membership_limits: MembershipLimits,
     /// Limits of the age of the deployment state.
     pub refresh_limits: RefreshLimits,
-    /// Time for which a target stays in use after its record lapsed around an outage of the source.
-    pub lapse_grace: Duration,
+    /// Limits of the time for which a target stays in use after its record lapsed around an outage of the source.
+    pub lapse_limits: LapseLimits,
     /// Processor capacity of the process in cores, by which aggregators are chosen.
     pub capacity_cores: f64,
     /// Memory that the bodies of requests and replies above their usual size share, in bytes.
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -165,7 +165,7 @@
         let body_memory = Arc::new(BodyMemory::new(settings.body_memory_bytes));
         let mut aggregators = AggregatorDirectory::new();
         aggregators.insert(settings.peer_addr, announcement(&settings).into_node());
-        let deployment_state = DeploymentState::new(settings.lapse_grace);
+        let deployment_state = DeploymentState::new(settings.lapse_limits);
         Self {
             settings,
             header_names,
--- a/crates/limpet-gateway/src/target/attempt_error.rs
+++ b/crates/limpet-gateway/src/target/attempt_error.rs
@@ -9,6 +9,8 @@
     Unreachable,
     /// All connections that this process may hold to the target are in use; nothing was sent.
     ConnectionLimit,
+    /// The target began to leave before the request was sent.
+    Leaving,
     /// The target reported that it did not run the request.
     NotRun,
     /// The address now belongs to another target, which did not run the request.
@@ -26,13 +28,20 @@
     pub const fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::Unreachable | Self::ConnectionLimit | Self::NotRun | Self::WrongTarget
+            Self::Unreachable
+                | Self::ConnectionLimit
+                | Self::Leaving
+                | Self::NotRun
+                | Self::WrongTarget
         )
     }
 
     /// Returns whether the request may have reached the target.
     pub const fn may_have_arrived(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::ConnectionLimit)
+        !matches!(
+            self,
+            Self::Unreachable | Self::ConnectionLimit | Self::Leaving
+        )
     }
 
     /// Returns the label used in logs and metrics.
@@ -40,6 +49,7 @@
         match self {
             Self::Unreachable => "unreachable",
             Self::ConnectionLimit => "no_connection",
+            Self::Leaving => "leaving",
             Self::NotRun => "not_run",
             Self::WrongTarget => "other_target",
             Self::NoValidReply => "broken",
--- a/crates/limpet-gateway/tests/follower.rs
+++ b/crates/limpet-gateway/tests/follower.rs
@@ -104,23 +104,13 @@
     }
 }
 
-macro_rules! source_outage_tests {
-    ($($name:ident => $gateway_without_source:expr;)+) => {
-        $(
-            #[tokio::test]
-            async fn $name() {
-                check_change_reaches_both($gateway_without_source).await;
-            }
-        )+
-    };
-}
-
 // Guards against a process that serves an old config because the source does not answer it or the
 // process that it follows.
-source_outage_tests! {
-    change_reaches_both_processes => None;
-    change_reaches_a_follower_that_lost_its_source => Some(1);
-    change_reaches_both_when_the_reader_loses_its_source => Some(0);
+limpet_testkit::async_cases! {
+    check_change_reaches_both:
+    change_reaches_both_processes => None,
+    change_reaches_a_follower_that_lost_its_source => Some(1),
+    change_reaches_both_when_the_reader_loses_its_source => Some(0),
 }
 
 /// Guards against a process without state after a start during an outage of the source.
@@ -293,21 +283,43 @@
     }
 }
 
-macro_rules! frozen_reader_tests {
-    ($($name:ident => $frozen_count:expr;)+) => {
-        $(
-            #[tokio::test]
-            async fn $name() {
-                changes_pass_by_frozen_readers($frozen_count).await;
-            }
-        )+
-    };
-}
-
 // Guards against a process that asks lost processes one after the other, each for its whole timeout, before it
 // asks the source.
-frozen_reader_tests! {
-    changes_pass_by_one_frozen_reader => 1;
-    changes_pass_by_two_frozen_readers => 2;
-    changes_pass_by_three_frozen_readers => 3;
+limpet_testkit::async_cases! {
+    changes_pass_by_frozen_readers:
+    changes_pass_by_one_frozen_reader => 1,
+    changes_pass_by_two_frozen_readers => 2,
+    changes_pass_by_three_frozen_readers => 3,
+}
+
+/// Checks that both gateways stop to send to a target within the bound after its record is removed, while the source
+/// cuts the waiting watches `cut_count` times, each `interval` apart, from just before the removal on.
+async fn removal_passes_cut_watches((cut_count, interval): (u32, Duration)) {
+    let pair = start_pair().await;
+    for _ in 1..cut_count {
+        pair.deployment.cut_watches();
+        sleep(interval).await;
+    }
+    pair.deployment.cut_watches();
+    pair.deployment.publish(Change::TargetRemoved("t".into()));
+    let removed_at = Instant::now();
+    for gateway in &pair.gateways {
+        while get(gateway.caller_addr, "/one/a").await.status == 200 {
+            let elapsed = removed_at.elapsed();
+            assert!(
+                elapsed < APPLY_TIMEOUT,
+                "the target is still used after {elapsed:?}"
+            );
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+// Guards against a watch that is cut once, as a source may do at any time, and counts as an outage: the source is not
+// asked for a while, and then the removed target is kept for a grace period.
+limpet_testkit::async_cases! {
+    removal_passes_cut_watches:
+    removal_at_a_cut_watch => (1, Duration::ZERO),
+    removal_after_two_cut_watches => (2, Duration::from_millis(5)),
+    removal_after_many_cut_watches => (12, Duration::from_millis(150)),
 }
--- a/crates/limpet-gateway/tests/support/deployment.rs
+++ b/crates/limpet-gateway/tests/support/deployment.rs
@@ -13,7 +13,10 @@
 };
 
 use http::HeaderName;
-use limpet_decide::refresh::RefreshLimits;
+use limpet_decide::refresh::{
+    LapseLimits,
+    RefreshLimits, //
+};
 use limpet_gateway::{
     HeaderNames,
     Settings,
@@ -58,6 +61,13 @@
 /// Longest time that a test waits until a gateway is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Limits of every gateway for targets whose records lapse around an outage of the source.
+pub(crate) const LAPSE_LIMITS: LapseLimits = LapseLimits {
+    renewal_time: Duration::from_secs(2),
+    contact_time: Duration::from_secs(4),
+    age_max: Duration::from_millis(2550),
+};
+
 /// Returns the header names of the fake deployment.
 pub(crate) fn header_names() -> HeaderNames {
     let name = HeaderName::from_static;
@@ -157,6 +167,8 @@
     changes: Arc<Mutex<Vec<VersionedChange>>>,
     /// Revision of the latest change.
     revision_sender: watch::Sender<u64>,
+    /// Number of times that the waiting watches were cut.
+    cut_sender: watch::Sender<u64>,
     /// Number of reads and watches of the source.
     source_call_count: Arc<AtomicU32>,
 }
@@ -173,6 +185,7 @@
         Self {
             changes: Arc::default(),
             revision_sender: watch::Sender::new(0),
+            cut_sender: watch::Sender::new(0),
             source_call_count: Arc::default(),
         }
     }
@@ -185,6 +198,11 @@
         self.revision_sender.send_replace(revision);
     }
 
+    /// Ends the connections of all waiting watches without a reply.
+    pub(crate) fn cut_watches(&self) {
+        self.cut_sender.send_modify(|count| *count += 1);
+    }
+
     /// Publishes a config.
     pub(crate) fn publish_config(&self, config: Config) {
         self.publish(Change::Config(Arc::new(config)));
@@ -222,7 +240,12 @@
                         return Err(unavailable_error());
                     }
                     let mut revision_receiver = deployment.revision_sender.subscribe();
-                    let _ = timeout(wait, revision_receiver.wait_for(|known| *known > after)).await;
+                    let mut cut_receiver = deployment.cut_sender.subscribe();
+                    let next_change = revision_receiver.wait_for(|known| *known > after);
+                    tokio::select! {
+                        _ = timeout(wait, next_change) => {}
+                        _ = cut_receiver.changed() => return Err(interrupted_error()),
+                    }
                     Ok(deployment.update_after(after, false))
                 })
             }),
@@ -267,6 +290,11 @@
     SourceError::new(SourceErrorKind::Unavailable, "disabled by the test")
 }
 
+/// Returns the error of a watch that was cut.
+fn interrupted_error() -> SourceError {
+    SourceError::new(SourceErrorKind::Interrupted, "cut by the test")
+}
+
 /// Returns a loopback address that no other gateway of this run uses, so that no other process can take a
 /// port between its selection and its use.
 pub(crate) fn unused_loopback_ip() -> String {
@@ -306,8 +334,8 @@
             discovery_time: Duration::ZERO,
             report_to_seeds_below: 3,
         },
-        refresh_limits: RefreshLimits::new(Duration::from_millis(2550)),
-        lapse_grace: Duration::from_secs(2),
+        refresh_limits: RefreshLimits::new(LAPSE_LIMITS.age_max),
+        lapse_limits: LAPSE_LIMITS,
         capacity_cores: 1.0,
         body_memory_bytes: 1 << 20,
         caller_connections_max: 100,
--- a/crates/limpet-gateway/tests/support/mod.rs
+++ b/crates/limpet-gateway/tests/support/mod.rs
@@ -16,6 +16,7 @@
     },
     deployment::{
         Deployment,
+        LAPSE_LIMITS,
         PEER_PORT,
         RunningGateway,
         config,
