Reject interim and encoded replies of targets

What callers saw: a 101 without a body, or encoded bytes as a success, if a target answered with these.

Cause: every reply with the request's id and no error status counted as the target's answer.

Change: an interim status, and a success with Content-Encoding, are no valid replies.

--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -8,7 +8,8 @@
 use http::{
     HeaderValue,
     Request,
-    Version, //
+    Version,
+    header::CONTENT_ENCODING, //
 };
 use http_body_util::Full;
 use limpet_types::deployment::Destination;
@@ -302,12 +303,19 @@
     if reply.headers.contains_key(&header_names.not_run) {
         return Err(AttemptError::new(AttemptErrorKind::NotRun, reply.status));
     }
-    let is_unsigned = !reply.headers.contains_key(&header_names.signature);
-    if reply.status.is_success() && is_unsigned {
-        let context = "the successful reply has no signature";
-        return Err(AttemptError::new(AttemptErrorKind::NoValidReply, context));
+    let has_signature = reply.headers.contains_key(&header_names.signature);
+    let invalid_reason = match reply.status {
+        status if status.is_informational() => Some("the reply is an interim one"),
+        status if !status.is_success() => None,
+        _ if !has_signature => Some("the successful reply has no signature"),
+        // Requests ask for no encoding, so an encoded body is not what the target sent.
+        _ if reply.headers.contains_key(CONTENT_ENCODING) => Some("the body is encoded"),
+        _ => None,
+    };
+    match invalid_reason {
+        Some(reason) => Err(AttemptError::new(AttemptErrorKind::NoValidReply, reason)),
+        None => Ok(reply),
     }
-    Ok(reply)
 }
 
 /// Returns the value of a header as a number, if it is one.
--- a/crates/limpet-gateway/tests/support/mod.rs
+++ b/crates/limpet-gateway/tests/support/mod.rs
@@ -32,6 +32,7 @@
     target::{
         Behaviour,
         FakeTarget,
-        ReceivedRequest, //
+        ReceivedRequest,
+        cut_response_length, //
     },
 };
--- a/crates/limpet-gateway/tests/support/target.rs
+++ b/crates/limpet-gateway/tests/support/target.rs
@@ -50,6 +50,10 @@
     WrongRequestId,
     /// Closes the connection in the middle of the body.
     Truncated,
+    /// Sends only this many bytes of a successful response and closes the connection.
+    CutAfter(usize),
+    /// Sends these bytes, with the id of the request for `ID`, and closes the connection.
+    Raw(&'static str),
     /// Answers as another target that has taken over the address.
     OtherTarget,
     /// Answers successfully but without a signature.
@@ -218,6 +222,16 @@
                 let _ = stream.write_all(&truncated).await;
                 return;
             }
+            Behaviour::CutAfter(length) => {
+                let mut cut = format_response(200, &id, CUT_BODY, "");
+                cut.truncate(length);
+                let _ = stream.write_all(&cut).await;
+                return;
+            }
+            Behaviour::Raw(text) => {
+                let _ = stream.write_all(text.replace("ID", &id).as_bytes()).await;
+                return;
+            }
             Behaviour::Close => return,
             Behaviour::Crash => {
                 crash.notify_one();
@@ -236,6 +250,14 @@
     }
 }
 
+/// Body of a response that is cut.
+const CUT_BODY: &[u8] = b"0123456789abcdef";
+
+/// Returns the length of the response that is cut, for a request with this id.
+pub(crate) fn cut_response_length(id: &str) -> usize {
+    format_response(200, id, CUT_BODY, "").len()
+}
+
 /// One chunk of a body without end.
 const ENDLESS_CHUNK: &[u8] = b"10\r\naaaaaaaaaaaaaaaa\r\n";
 
