Refuse requests that become complete too late in a planned stop

What callers saw: a request whose body ended late in the grace was passed on and then answered 502, although it may not be repeated; one whose body never came got 502 too.

Cause: a request was started whatever was left of the stop, and the cancellation answered every request as one that may have run.

Change: limpet-decide::shutdown holds the points in time of a stop and decides whether a request still starts; the deadline that targets are told ends with the stop. A request without its whole body is refused with 503.

--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod replica;
 pub mod retry;
 pub mod revision;
+pub mod shutdown;
 pub mod snapshot;
 pub mod spread;
 pub mod ticket;
--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -55,6 +55,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Value of `Retry-After` while the process has no config.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Value of `Retry-After` while the process shuts down: a new connection reaches another process at once.
+const SHUTDOWN_RETRY_AFTER: Duration = Duration::ZERO;
 /// Value of `Retry-After` while no memory is left for a large body.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -89,6 +91,8 @@
     let mut log_fields = RequestLogFields::default();
     let run = run_request(&shared, head, body, arrived_at, &mut log_fields);
     let outcome = tokio::select! {
+        // An outcome that is known at the end is better than none.
+        biased;
         outcome = answer_after_panic(run) => outcome,
         () = shared.requests_cancelled() => Err(RequestError::may_have_run(RequestErrorKind::ShuttingDown)),
     };
@@ -144,7 +148,11 @@
     let limits = &route_table.config().limits;
     let caller_timeout = parse_caller_timeout(shared, &head);
     let body = receive_body(body, limits.body_max_bytes, &shared.body_memory);
-    let body = timeout(caller_timeout.unwrap_or(limits.head_timeout), body).await;
+    let body = timeout(caller_timeout.unwrap_or(limits.head_timeout), body);
+    let body = tokio::select! {
+        body = body => body,
+        () = shared.requests_cancelled() => return Err(shutdown_error()),
+    };
     let body = body.map_err(|_| RequestError::not_run(RequestErrorKind::BodyTooSlow))?;
     let body = body.map_err(|error| body_error(&error))?;
     let query = admit_request(
@@ -170,6 +178,11 @@
     Some(Duration::from_millis(caller_timeout_ms))
 }
 
+/// Returns the error for a request that does not start because the process shuts down.
+const fn shutdown_error() -> RequestError {
+    RequestError::not_run(RequestErrorKind::ShuttingDown).with_retry_after(SHUTDOWN_RETRY_AFTER)
+}
+
 /// Returns the error for a body that cannot be read.
 const fn body_error(error: &BodyError) -> RequestError {
     match error {
@@ -215,7 +228,13 @@
 
     let request_timeout = caller_timeout.unwrap_or(route.timeout).min(route.timeout);
     let response_margin = RESPONSE_MARGIN.min(request_timeout / 10);
+    if !shared.may_start_request(&route) {
+        return Err(shutdown_error());
+    }
     let deadline = arrived_at + request_timeout - response_margin;
+    let deadline = shared
+        .cancel_time()
+        .map_or(deadline, |cancel_time| deadline.min(cancel_time));
     if deadline <= Instant::now() {
         return Err(RequestError::not_run(RequestErrorKind::TimedOut));
     }
--- a/crates/limpet-gateway/src/frontend/server.rs
+++ b/crates/limpet-gateway/src/frontend/server.rs
@@ -27,7 +27,6 @@
     },
     time::{
         Instant,
-        timeout,
         timeout_at, //
     },
 };
@@ -49,10 +48,6 @@
 /// Longest time for which such a connection waits for its request.
 const FINAL_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time reserved at the end of the shutdown for answering cancelled requests and for callers to read
-/// the answers.
-const CANCELLED_RESPONSE_TIME: Duration = Duration::from_millis(100);
-
 /// Whether the server accepts connections or is shutting down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -77,25 +72,18 @@
 
     /// Stops accepting, closes idle connections and waits for requests in flight.
     ///
-    /// Requests that are still in flight shortly before the end of `stop_timeout` are cancelled and answered
-    /// with an error; connections that are still open at its end are closed.
-    pub async fn stop(self, stop_timeout: Duration) {
+    /// Requests that are still in flight at `cancel_at` are cancelled and answered with an error; connections that
+    /// are still open at `close_at` are closed.
+    pub async fn stop(self, cancel_at: Instant, close_at: Instant) {
         // Sending fails only if the server has already stopped.
         let _ = self.stage_sender.send(Stage::Closing);
         let mut accept_task = self.accept_task;
-        let grace_time = stop_timeout.saturating_sub(CANCELLED_RESPONSE_TIME);
-        if timeout(grace_time, &mut accept_task).await.is_ok() {
+        if timeout_at(cancel_at, &mut accept_task).await.is_ok() {
             return;
         }
-        tracing::warn!(
-            limit_ms = stop_timeout.as_millis(),
-            "requests cancelled at shutdown"
-        );
+        tracing::warn!("requests cancelled at shutdown");
         self.shared.cancel_requests();
-        if timeout(stop_timeout - grace_time, &mut accept_task)
-            .await
-            .is_err()
-        {
+        if timeout_at(close_at, &mut accept_task).await.is_err() {
             tracing::warn!("connections closed without an answer at shutdown");
             accept_task.abort();
         }
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -11,6 +11,7 @@
     Future,
     FutureExt, //
 };
+use limpet_decide::shutdown::StopSchedule;
 use limpet_peer::PeerServer;
 use limpet_types::message::{
     PeerReply,
@@ -55,11 +56,6 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 /// One in this many maintenance rounds also closes expired connections and updates gauges, which costs more.
 const ROUNDS_PER_FULL_MAINTENANCE: u32 = 8;
-/// Fraction of the shutdown timeout in which new connections are still served, because the load balancer
-/// needs two failed checks to notice an unready process.
-const DRAIN_NOTICE_FRACTION: f64 = 0.45;
-/// Fraction of the shutdown timeout after which requests in flight are cancelled.
-const REQUEST_CANCEL_FRACTION: f64 = 0.92;
 
 /// Why a gateway cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -142,15 +138,16 @@
     let stop_started = Instant::now();
     let shutdown_timeout = settings.shutdown_timeout;
     tracing::info!(limit_ms = shutdown_timeout.as_millis(), "gateway stopping");
-    shared.start_drain();
-    sleep(shutdown_timeout.mul_f64(DRAIN_NOTICE_FRACTION)).await;
-    let frontend_timeout = shutdown_timeout
-        .mul_f64(REQUEST_CANCEL_FRACTION)
-        .saturating_sub(stop_started.elapsed());
-    frontend_server.stop(frontend_timeout).await;
-    let aggregation_timeout = shutdown_timeout
-        .mul_f64(REQUEST_CANCEL_FRACTION)
-        .saturating_sub(stop_started.elapsed());
+    let schedule = StopSchedule::new(shutdown_timeout);
+    shared.start_drain(stop_started);
+    sleep(schedule.notice_end()).await;
+    frontend_server
+        .stop(
+            stop_started + schedule.cancel_at(),
+            stop_started + schedule.close_at(),
+        )
+        .await;
+    let aggregation_timeout = schedule.close_at().saturating_sub(stop_started.elapsed());
     if timeout(aggregation_timeout, shared.aggregations_finished())
         .await
         .is_err()
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -4,9 +4,8 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{
-            AtomicBool,
             AtomicU64,
             AtomicUsize,
             Ordering, //
@@ -25,6 +24,7 @@
     },
     cold_share,
     quarantine::StrikeTable,
+    shutdown::StopSchedule,
     spread::{
         ReaderRank,
         Readers,
@@ -39,7 +39,8 @@
 use rand::Rng;
 use tokio::{
     sync::watch,
-    task::JoinSet, //
+    task::JoinSet,
+    time::Instant, //
 };
 
 use crate::{
@@ -111,8 +112,8 @@
     pub clock: Clock,
     /// Routes, API keys and teams in force; `None` before the first config is installed.
     pub route_table: ArcSwapOption<RouteTable>,
-    /// Whether the process is shutting down.
-    is_draining: AtomicBool,
+    /// When the shutdown of the process began.
+    stop_started_at: OnceLock<Instant>,
     /// Whether the requests in flight are cancelled.
     cancel_sender: watch::Sender<bool>,
     /// Number of open caller connections.
@@ -171,7 +172,7 @@
             header_names,
             clock: Clock::new(),
             route_table: ArcSwapOption::empty(),
-            is_draining: AtomicBool::new(false),
+            stop_started_at: OnceLock::new(),
             cancel_sender: watch::Sender::new(false),
             caller_connection_count: AtomicUsize::new(0),
             revision_sender: watch::Sender::new(0),
@@ -471,12 +472,30 @@
 
     /// Returns whether the process is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.stop_started_at.get().is_some()
     }
 
     /// Starts the shutdown: the process is no longer ready and asks callers to close their connections.
-    pub fn start_drain(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
+    pub fn start_drain(&self, stop_started_at: Instant) {
+        // Later calls change nothing.
+        let _ = self.stop_started_at.set(stop_started_at);
+    }
+
+    /// Returns when requests in flight are cancelled; `None` if the process is not shutting down.
+    pub fn cancel_time(&self) -> Option<Instant> {
+        let schedule = StopSchedule::new(self.settings.shutdown_timeout);
+        let stop_started_at = self.stop_started_at.get()?;
+        Some(*stop_started_at + schedule.cancel_at())
+    }
+
+    /// Returns whether a request of a route may start; during a shutdown only if it is expected to end in time.
+    pub fn may_start_request(&self, route: &Route) -> bool {
+        let Some(stop_started_at) = self.stop_started_at.get() else {
+            return true;
+        };
+        let schedule = StopSchedule::new(self.settings.shutdown_timeout);
+        let mean_latency = self.with_route_latency(&route.name, |latency| latency.mean());
+        schedule.may_start(stop_started_at.elapsed(), route.latency_goal, mean_latency)
     }
 
     /// Cancels the requests in flight; their callers get an error.
--- a/crates/limpet-gateway/tests/shutdown.rs
+++ b/crates/limpet-gateway/tests/shutdown.rs
@@ -29,8 +29,18 @@
     unused_loopback_ip, //
 };
 use tokio::{
-    net::TcpListener,
-    time::sleep, //
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    time::{
+        Instant,
+        sleep, //
+    },
 };
 
 /// Starts a gateway with one target that answers after `delay`.
@@ -107,7 +117,13 @@
         let request = b"GET /one/a HTTP/1.1\r\nhost: shop.example\r\nt-id: request-1\r\n\r\n";
         std::io::Write::write_all(stream, request).unwrap();
     }
-    server.stop(Duration::from_secs(2)).await;
+    let now = Instant::now();
+    server
+        .stop(
+            now + Duration::from_millis(1900),
+            now + Duration::from_secs(2),
+        )
+        .await;
     for (index, mut stream) in streams.into_iter().enumerate() {
         let mut answer = String::new();
         std::io::Read::read_to_string(&mut stream, &mut answer)
@@ -136,3 +152,37 @@
         .unwrap();
     hanging_request.abort();
 }
+
+/// Sends a request that must not be repeated in two pieces, the second one `second_piece_delay` after the begin of a
+/// shutdown of two seconds, or never; checks that it is refused and not passed on.
+async fn late_body_is_refused(second_piece_delay: Option<Duration>) {
+    let (mut gateway, target) = start_gateway(Duration::from_secs(20)).await;
+    let mut stream = TcpStream::connect(gateway.caller_addr).await.unwrap();
+    let first_piece =
+        b"POST /one/a HTTP/1.1\r\nhost: shop.example\r\nt-id: request-1\r\nt-key: key-a\r\n\
+        t-deadline: 9000\r\ncontent-length: 5\r\n\r\nor";
+    stream.write_all(first_piece).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    gateway.begin_stop();
+    if let Some(delay) = second_piece_delay {
+        sleep(delay).await;
+        stream.write_all(b"der").await.unwrap();
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+    assert!(
+        target.received_requests().is_empty(),
+        "the refused request was passed on"
+    );
+    gateway.wait_stopped().await;
+}
+
+// Guards against a request that becomes complete late in a shutdown and is started only to be cancelled, and against one
+// that is answered as if it might have run although its body never came.
+limpet_testkit::async_cases! {
+    late_body_is_refused:
+    body_that_ends_late_in_a_shutdown => Some(Duration::from_millis(1450)),
+    body_that_does_not_end_in_a_shutdown => None,
+}
