Obey what targets say in their replies: leaving, and a pause

Change: limpet-decide::target_notice keeps the notices of an incarnation and parses the header in all its forms. They hold for every route and reply but 421 (which comes from another target), outlast rewritten and lapsed records, end with the incarnation, and are looked at again just before a request is sent. If every target of a service is paused for longer than a quarter of the goal, a request is refused at once with the time that is left as Retry-After.

--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod shutdown;
 pub mod snapshot;
 pub mod spread;
+pub mod target_notice;
 pub mod ticket;
 pub mod tokens;
 pub mod warmup;
--- a/crates/limpet-gateway/src/header_names.rs
+++ b/crates/limpet-gateway/src/header_names.rs
@@ -19,6 +19,8 @@
     pub target_id: HeaderName,
     /// Set on the reply of a target that did not run the request.
     pub not_run: HeaderName,
+    /// Set to `1` on the replies of a target that leaves.
+    pub leaving: HeaderName,
     /// Signature of the target for its reply.
     pub signature: HeaderName,
     /// Remaining warm-up time of the target, in milliseconds.
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -6,12 +6,14 @@
 };
 
 use http::{
-    HeaderValue,
-    Request,
-    Version,
-    header::CONTENT_ENCODING, //
+    HeaderValue, Request, Version,
+    header::{
+        CONTENT_ENCODING,
+        RETRY_AFTER, //
+    },
 };
 use http_body_util::Full;
+use limpet_decide::target_notice::parse_retry_after;
 use limpet_types::deployment::Destination;
 use tokio::time::Instant;
 
@@ -72,7 +74,7 @@
         }
         Err(error) => {
             match error.kind {
-                AttemptErrorKind::ConnectionLimit | AttemptErrorKind::Leaving => {}
+                AttemptErrorKind::ConnectionLimit | AttemptErrorKind::NotWanted => {}
                 AttemptErrorKind::Unreachable | AttemptErrorKind::Timeout => {
                     target.health().record_no_reply(now);
                 }
@@ -155,9 +157,9 @@
         let (connection, reservation) =
             acquire_connection(query, target, connections_limit).await?;
         // Opening a connection takes time, in which the target may have begun to leave.
-        if target.is_leaving() {
-            let context = "the target leaves";
-            return Err(AttemptError::new(AttemptErrorKind::Leaving, context));
+        if !target.allows_request(query.shared.now()) {
+            let context = "the target leaves or is paused";
+            return Err(AttemptError::new(AttemptErrorKind::NotWanted, context));
         }
         let is_reused = connection.is_reused();
         let request = build_target_request(query, target)?;
@@ -275,6 +277,9 @@
     reservation: ConnectionReservation,
 ) -> Result<TargetReply, AttemptError> {
     let header_names = &query.shared.header_names;
+    if reply.status != http::StatusCode::MISDIRECTED_REQUEST {
+        record_notices(query, target, &reply);
+    }
     let echoed_id = reply.headers.get(&header_names.request_id);
     if echoed_id != Some(&query.request.request_id) {
         let context = match echoed_id {
@@ -318,6 +323,31 @@
     }
 }
 
+/// Records what a reply of the target says about further requests.
+fn record_notices(query: &QueryContext, target: &Target, reply: &TargetReply) {
+    let is_leaving = reply
+        .headers
+        .get_all(&query.shared.header_names.leaving)
+        .iter()
+        .any(|value| value.as_bytes().trim_ascii() == b"1");
+    if is_leaving && !target.notices().is_leaving() {
+        target.notices().record_leaving();
+        target.pool().close_idle();
+        tracing::info!(target_id = %target.id, addr = %target.addr, "target announced that it leaves");
+    }
+    let retry_after = reply.headers.get(RETRY_AFTER);
+    let pause = retry_after
+        .filter(|_| reply.status == http::StatusCode::SERVICE_UNAVAILABLE)
+        .and_then(|value| parse_retry_after(value.to_str().ok()?));
+    if let Some(pause) = pause {
+        target.notices().record_pause(pause, query.shared.now());
+        tracing::info!(
+            target_id = %target.id, pause_ms = pause.as_millis() as u64,
+            "target wants no requests for a while"
+        );
+    }
+}
+
 /// Returns the value of a header as a number, if it is one.
 fn parse_numeric_header(reply: &TargetReply, name: &http::HeaderName) -> Option<u64> {
     reply.headers.get(name)?.to_str().ok()?.trim().parse().ok()
--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -36,6 +36,8 @@
 const HEDGE_DELAY_MIN: Duration = Duration::from_millis(8);
 /// Longest delay before a hedge, as a fraction of the latency goal of the route.
 const HEDGE_DELAY_GOAL_FRACTION: f64 = 0.4;
+/// Longest time for which a request waits for paused targets, as a fraction of the latency goal of the route.
+const PAUSE_GOAL_FRACTION: f64 = 0.25;
 /// Time between two tries to pick a target while none has capacity.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(4);
 /// How long the remaining attempts may run on after the first reply, because a connection is reusable only
@@ -52,12 +54,15 @@
     pub(super) kind: RequestErrorKind,
     /// Whether the request is known not to have run on any target of the service.
     pub(super) is_not_run: bool,
+    /// Time after which a target of the service wants requests again, if that is known.
+    pub(super) retry_after: Option<Duration>,
 }
 
 /// The deadline passed; a target may still run the request.
 const TIMED_OUT: ServiceError = ServiceError {
     kind: RequestErrorKind::TimedOut,
     is_not_run: false,
+    retry_after: None,
 };
 
 /// An attempt in flight; resolves to its target and its result.
@@ -161,11 +166,17 @@
             if self.start_attempt(false) {
                 return Ok(());
             }
-            let has_target = self.query.shared.fleet().has_active_target(&self.service);
-            if !has_target || self.query.time_left() < TARGET_POLL_INTERVAL * 2 {
+            let shared = &self.query.shared;
+            let pause = shared.fleet().shortest_pause(&self.service, shared.now());
+            let is_paused = pause.is_some_and(|pause| {
+                pause >= self.query.route.latency_goal.mul_f64(PAUSE_GOAL_FRACTION)
+            });
+            let is_late = self.query.time_left() < TARGET_POLL_INTERVAL * 2;
+            if pause.is_none() || is_paused || is_late {
                 return Err(ServiceError {
                     kind: RequestErrorKind::NoTarget,
                     is_not_run: true,
+                    retry_after: pause.filter(|pause| !pause.is_zero()),
                 });
             }
             sleep(TARGET_POLL_INTERVAL).await;
@@ -287,6 +298,13 @@
         });
     }
 
+    /// Returns how long no target of the service wants a request, if that is so.
+    fn pause_left(&self) -> Option<Duration> {
+        let shared = &self.query.shared;
+        let pause = shared.fleet().shortest_pause(&self.service, shared.now());
+        pause.filter(|pause| !pause.is_zero())
+    }
+
     /// Returns the result after the last attempt has failed: the latest error reply of a target, or an error
     /// if there was none.
     fn final_result(&mut self) -> Result<TargetReply, ServiceError> {
@@ -297,10 +315,12 @@
             None if self.may_have_run => Err(ServiceError {
                 kind: RequestErrorKind::OutcomeUnknown,
                 is_not_run: false,
+                retry_after: None,
             }),
             None => Err(ServiceError {
                 kind: RequestErrorKind::Shed,
                 is_not_run: true,
+                retry_after: self.pause_left(),
             }),
         }
     }
--- a/crates/limpet-gateway/src/query/split.rs
+++ b/crates/limpet-gateway/src/query/split.rs
@@ -37,7 +37,10 @@
     let service = choose_service(split, draw).ok_or(no_target_error)?;
     match ServiceAttempts::new(query, service).run().await {
         Ok(reply) => Ok(Answer::Reply(reply)),
-        Err(error) if error.is_not_run => Err(RequestError::not_run(error.kind)),
+        Err(error) if error.is_not_run => Err(RequestError {
+            retry_after: error.retry_after,
+            ..RequestError::not_run(error.kind)
+        }),
         Err(error) => Err(RequestError::may_have_run(error.kind)),
     }
 }
--- a/crates/limpet-gateway/src/target/attempt_error.rs
+++ b/crates/limpet-gateway/src/target/attempt_error.rs
@@ -9,8 +9,8 @@
     Unreachable,
     /// All connections that this process may hold to the target are in use; nothing was sent.
     ConnectionLimit,
-    /// The target began to leave before the request was sent.
-    Leaving,
+    /// The target announced that it leaves, or wants no requests for a while, before the request was sent.
+    NotWanted,
     /// The target reported that it did not run the request.
     NotRun,
     /// The address now belongs to another target, which did not run the request.
@@ -30,7 +30,7 @@
             self,
             Self::Unreachable
                 | Self::ConnectionLimit
-                | Self::Leaving
+                | Self::NotWanted
                 | Self::NotRun
                 | Self::WrongTarget
         )
@@ -40,7 +40,7 @@
     pub const fn may_have_arrived(self) -> bool {
         !matches!(
             self,
-            Self::Unreachable | Self::ConnectionLimit | Self::Leaving
+            Self::Unreachable | Self::ConnectionLimit | Self::NotWanted
         )
     }
 
@@ -49,7 +49,7 @@
         match self {
             Self::Unreachable => "unreachable",
             Self::ConnectionLimit => "no_connection",
-            Self::Leaving => "leaving",
+            Self::NotWanted => "not_wanted",
             Self::NotRun => "not_run",
             Self::WrongTarget => "other_target",
             Self::NoValidReply => "broken",
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -23,6 +23,9 @@
 /// connections that the target still counts.
 const USABLE_CONNECTIONS_FRACTION: f64 = 0.85;
 
+/// Maximum number of gone targets that are kept because of their notices.
+const GONE_TARGETS_MAX: usize = 4096;
+
 /// Fraction of the usable connections that the aggregators share.
 const AGGREGATOR_CONNECTIONS_FRACTION: f64 = 0.5;
 
@@ -91,6 +94,8 @@
 pub struct Fleet {
     by_id: HashMap<TargetId, Arc<Target>>,
     by_service: HashMap<Box<str>, Vec<Arc<Target>>>,
+    /// Targets that are gone and whose notices are in force: the same incarnation may return.
+    gone_with_notices: HashMap<TargetId, Arc<Target>>,
 }
 
 impl Fleet {
@@ -107,6 +112,7 @@
         let mut by_service: HashMap<Box<str>, Vec<Arc<Target>>> = HashMap::new();
         for (id, record) in deployment_state.targets() {
             let known_target = self.by_id.remove(id);
+            let known_target = known_target.or_else(|| self.gone_with_notices.remove(id));
             let known_target = known_target.filter(|target| {
                 let is_same_incarnation = target.is_same_incarnation(record);
                 if !is_same_incarnation {
@@ -124,10 +130,32 @@
         for target in self.by_id.values() {
             target.retire();
         }
+        let gone = self.by_id.drain();
+        self.gone_with_notices.extend(gone);
+        self.forget_gone_targets(now);
         self.by_id = by_id;
         self.by_service = by_service;
     }
 
+    /// Forgets the gone targets without a notice in force, and any others beyond the limit.
+    fn forget_gone_targets(&mut self, now: Duration) {
+        self.gone_with_notices
+            .retain(|_, target| target.notices().is_in_force(now));
+        let excess = self
+            .gone_with_notices
+            .len()
+            .saturating_sub(GONE_TARGETS_MAX);
+        let forgotten: Vec<TargetId> = self
+            .gone_with_notices
+            .keys()
+            .take(excess)
+            .cloned()
+            .collect();
+        for id in &forgotten {
+            self.gone_with_notices.remove(id);
+        }
+    }
+
     /// Returns the target with this id.
     pub fn get(&self, id: &str) -> Option<Arc<Target>> {
         self.by_id.get(id).cloned()
@@ -143,7 +171,7 @@
         let connections_limit = criteria.connections_limit();
         let mut best: Option<(bool, f64, &Arc<Target>)> = None;
         for target in targets {
-            let is_usable = !target.is_leaving()
+            let is_usable = target.allows_request(now)
                 && (target.in_flight_count() as usize) < connections_limit
                 && !criteria.tried_targets.contains(&target.id)
                 && (!criteria.needs_free_slot || target.in_flight_count() < target.slots)
@@ -184,7 +212,7 @@
             let targets = self.by_service.get(shard).map_or(&[][..], Vec::as_slice);
             let usable = targets
                 .iter()
-                .filter(|target| !target.is_leaving() && !target.health().is_ejected(now));
+                .filter(|target| target.allows_request(now) && !target.health().is_ejected(now));
             let mut zones: Vec<&str> = usable.map(|target| &*target.zone).collect();
             zones.sort_unstable();
             zones.dedup();
@@ -209,14 +237,15 @@
     pub fn has_healthy_target(&self, service: &str, now: Duration) -> bool {
         let targets = self.by_service.get(service);
         let is_healthy =
-            |target: &Arc<Target>| !target.is_leaving() && !target.health().is_ejected(now);
+            |target: &Arc<Target>| target.allows_request(now) && !target.health().is_ejected(now);
         targets.is_some_and(|targets| targets.iter().any(is_healthy))
     }
 
-    /// Returns whether a service has a target that accepts new requests.
-    pub fn has_active_target(&self, service: &str) -> bool {
-        let targets = self.by_service.get(service);
-        targets.is_some_and(|targets| targets.iter().any(|target| !target.is_leaving()))
+    /// Returns how long no target of a service wants a request: zero if one does, `None` if all leave.
+    pub fn shortest_pause(&self, service: &str, now: Duration) -> Option<Duration> {
+        let targets = self.by_service.get(service)?;
+        let staying = targets.iter().filter(|target| !target.is_leaving());
+        staying.map(|target| target.notices().pause_left(now)).min()
     }
 
     /// Closes idle connections that can no longer be used.
--- a/crates/limpet-gateway/src/target/one_target.rs
+++ b/crates/limpet-gateway/src/target/one_target.rs
@@ -13,6 +13,7 @@
     time::Duration,
 };
 
+use limpet_decide::target_notice::TargetNotices;
 use limpet_types::deployment::{
     TargetId,
     TargetRecord,
@@ -42,11 +43,12 @@
     pub started_ms: Option<u64>,
     /// Latest record of this incarnation.
     record: Mutex<Arc<TargetRecord>>,
-    /// Whether the target accepts no new requests.
+    /// Whether the target accepts no new requests, according to its record and its zone.
     is_leaving: AtomicBool,
     /// Number of requests in flight from this process.
     in_flight_count: AtomicU32,
     health: Mutex<TargetHealth>,
+    notices: Mutex<TargetNotices>,
     pool: Mutex<ConnectionPool>,
     cold_rate_limiter: Mutex<ColdRateLimiter>,
     /// Rank of this process among those that may send to the target while it is cold, with the version of the
@@ -76,6 +78,7 @@
             is_leaving: AtomicBool::new(record.state == TargetState::Draining),
             in_flight_count: AtomicU32::new(0),
             health: Mutex::new(TargetHealth::default()),
+            notices: Mutex::new(TargetNotices::new()),
             pool: Mutex::new(ConnectionPool::default()),
             cold_rate_limiter: Mutex::new(cold_rate_limiter),
             cold_rank: Mutex::new(None),
@@ -109,9 +112,19 @@
         self.pool().close_idle();
     }
 
-    /// Returns whether the target accepts no new requests.
+    /// Returns whether the target accepts no new requests: its record, its zone or one of its replies says so.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Relaxed)
+        self.is_leaving.load(Ordering::Relaxed) || self.notices().is_leaving()
+    }
+
+    /// Returns whether a request may be sent to the target now: it does not leave, and wants requests.
+    pub fn allows_request(&self, now: Duration) -> bool {
+        !self.is_leaving.load(Ordering::Relaxed) && self.notices().allows_request(now)
+    }
+
+    /// Locks the notices of the target.
+    pub fn notices(&self) -> MutexGuard<'_, TargetNotices> {
+        lock(&self.notices)
     }
 
     /// Locks the health of the target.
--- a/crates/limpet-gateway/tests/support/deployment.rs
+++ b/crates/limpet-gateway/tests/support/deployment.rs
@@ -79,6 +79,7 @@
         expected_target: name("t-expect"),
         target_id: name("t-target"),
         not_run: name("t-not-run"),
+        leaving: name("t-leaving"),
         signature: name("t-signature"),
         cold_ms: name("t-cold"),
         part_signatures: name("t-parts"),
--- a/crates/limpet-gateway/tests/support/target.rs
+++ b/crates/limpet-gateway/tests/support/target.rs
@@ -38,6 +38,8 @@
 pub(crate) enum Behaviour {
     /// Answers with a status, a signature and a body after a delay.
     Answer(u16, &'static [u8], Duration),
+    /// Answers with a status, a signature, a body and these header lines.
+    AnswerWith(u16, &'static [u8], &'static str),
     /// Rejects the request without running it.
     Shed,
     /// Runs the request and closes the connection.
@@ -178,6 +180,9 @@
                 sleep(delay).await;
                 format_response(status, &id, body, "")
             }
+            Behaviour::AnswerWith(status, body, headers) => {
+                format_response(status, &id, body, headers)
+            }
             Behaviour::Shed => format_response(503, &id, b"", "t-not-run: 1\r\n"),
             Behaviour::OtherTarget => format_response(421, &id, b"", "t-target: other\r\n"),
             Behaviour::WrongRequestId => format_response(200, "another-request", b"crossed", ""),
