Answer 502 where a target refuses an order that it may have run

What callers saw: 503 for an order that a target ran and failed with its own 503; the promise 'not run' was false.

Cause: ServiceAttempts returned the reply of a target as it was, although only X-Not-Executed states that it did not run the request.

Change: for a request that runs at most once, 503, 429 and 408 without that header count as an attempt that may have run: no retry, and 502 without the signature.

--- a/crates/limpet-gateway/src/frontend/response.rs
+++ b/crates/limpet-gateway/src/frontend/response.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{
-    HeaderValue, Response, StatusCode,
+    HeaderValue, Response,
     header::{
         CONNECTION,
         CONTENT_LENGTH,
@@ -21,7 +21,8 @@
     query::{
         Answer,
         Outcome,
-        RequestError, //
+        RequestError,
+        guarantees_not_run, //
     },
     shared_state::SharedState,
     target::TargetReply, //
@@ -107,16 +108,6 @@
     response
 }
 
-/// Returns whether a status guarantees the caller that its request did not run and will not run later.
-const fn guarantees_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-    )
-}
-
 /// Builds the response to a request that the gateway answers with an error of its own.
 fn error_response(error: RequestError) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(error.kind.label().as_bytes())));
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -21,6 +21,7 @@
     QueryContext,
     crash_check,
     merge::RECORD_BYTES, //
+    outcome::guarantees_not_run,
 };
 use crate::target::{
     AttemptError,
@@ -308,6 +309,13 @@
     if reply.headers.contains_key(&header_names.not_run) {
         return Err(AttemptError::new(AttemptErrorKind::NotRun, reply.status));
     }
+    // A caller would take the status as a promise and repeat the request.
+    if !query.route.is_idempotent() && guarantees_not_run(reply.status) {
+        return Err(AttemptError::new(
+            AttemptErrorKind::UncertainRefusal,
+            reply.status,
+        ));
+    }
     let has_signature = reply.headers.contains_key(&header_names.signature);
     let invalid_reason = match reply.status {
         status if status.is_informational() => Some("the reply is an interim one"),
--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -22,7 +22,8 @@
         Answer,
         Outcome,
         RequestError,
-        RequestErrorKind, //
+        RequestErrorKind,
+        guarantees_not_run, //
     },
     placed_gather::run_placed_gather,
     query_context::{
--- a/crates/limpet-gateway/src/query/outcome.rs
+++ b/crates/limpet-gateway/src/query/outcome.rs
@@ -147,3 +147,13 @@
         }
     }
 }
+
+/// Returns whether a status guarantees the caller that its request did not run and will not run later.
+pub const fn guarantees_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+    )
+}
--- a/crates/limpet-gateway/src/target/attempt_error.rs
+++ b/crates/limpet-gateway/src/target/attempt_error.rs
@@ -13,6 +13,8 @@
     NotWanted,
     /// The target reported that it did not run the request.
     NotRun,
+    /// The target refused the request without saying that it did not run it; the request may have run.
+    UncertainRefusal,
     /// The address now belongs to another target, which did not run the request.
     WrongTarget,
     /// The connection ended before a complete reply, or the reply is invalid; the request may have run.
@@ -51,6 +53,7 @@
             Self::ConnectionLimit => "no_connection",
             Self::NotWanted => "not_wanted",
             Self::NotRun => "not_run",
+            Self::UncertainRefusal => "uncertain_refusal",
             Self::WrongTarget => "other_target",
             Self::NoValidReply => "broken",
             Self::MismatchedReply => "crossed",
--- a/crates/limpet-gateway/tests/single_target.rs
+++ b/crates/limpet-gateway/tests/single_target.rs
@@ -85,6 +85,27 @@
     unsigned_success_is_not_retried => Behaviour::Unsigned, 502;
 }
 
+/// Checks that a caller is not told that a request did not run which may have run.
+async fn check_not_told_as_not_run(behaviour: Behaviour, status: u16) {
+    let (reply, received_count) = send_at_most_once(behaviour).await;
+    assert_eq!((reply.status, received_count), (status, 1));
+    assert_eq!(
+        reply.header("t-signature"),
+        "",
+        "another status than the target's must not bear its signature"
+    );
+}
+
+// Guards against an order that is placed twice, because its target ran it and failed with a status that promises the
+// caller that it did not run.
+behaviour_tests! {
+    check_not_told_as_not_run:
+    own_503_after_a_run => Behaviour::Answer(503, b"", REPLY_DELAY), 502;
+    own_429_after_a_run => Behaviour::Answer(429, b"", REPLY_DELAY), 502;
+    own_408_after_a_run => Behaviour::Answer(408, b"", REPLY_DELAY), 502;
+    own_503_with_a_pause => Behaviour::AnswerWith(503, b"", "retry-after: 1\r\n"), 502;
+}
+
 /// Checks that a request that neither target runs is sent to both and then refused with `status`.
 async fn check_sent_to_both_and_refused(behaviour: Behaviour, status: u16) {
     let (reply, received_count) = send_at_most_once(behaviour).await;
