Count a crash against a query only beside the crashes known before it

What callers saw: after one crash of one target, a query that many callers send was refused with 503 by every process for ten minutes.

Cause: each copy of the query that was at work counted as a crash of its own, since the id of a crash was a hash of the request id; two strikes quarantine, and no success ended them.

Change: the id of a crash is a hash of the query and the number of strikes that were known when the copy began, so that copies in flight together get one strike on all processes. A reply of any target to the query removes its strikes.

--- a/crates/limpet-decide/src/quarantine/strike_table.rs
+++ b/crates/limpet-decide/src/quarantine/strike_table.rs
@@ -172,6 +172,34 @@
         added_count
     }
 
+    /// Returns the number of strikes of a request that still count.
+    pub fn strike_count(&self, fingerprint: u64, now: Duration) -> usize {
+        let entries = self.entries.get(&fingerprint);
+        let live = |entry: &&StrikeEntry| now < entry.crashed_at + STRIKE_TTL;
+        entries.map_or(0, |entries| entries.iter().filter(live).count())
+    }
+
+    /// Records a crash of a target under a query, which had `known_strikes` strikes when it began.
+    ///
+    /// A crash is evidence against a query only beside the crashes that were known before: of many copies of a popular
+    /// query that are in flight while targets go down, or of one query at many targets, all get the same strike on all
+    /// processes, and a second one takes another crash after the first was known.
+    pub fn record_query_crash(&mut self, fingerprint: u64, known_strikes: usize, now: Duration) {
+        let known_strikes = known_strikes.to_le_bytes();
+        let crash_id = stable_hash_parts(&[&fingerprint.to_le_bytes(), &known_strikes]);
+        // A crash that happens after a success is new evidence.
+        self.cleared.remove(&(fingerprint, crash_id));
+        self.record_crash(crash_id, &[fingerprint], now);
+    }
+
+    /// Records that a target ran a query and survived it, which removes all strikes of the query: one that crashes
+    /// targets crashes each of them.
+    pub fn record_query_success(&mut self, fingerprint: u64, now: Duration) {
+        if self.entries.contains_key(&fingerprint) {
+            self.end_isolated_run(fingerprint, true, now);
+        }
+    }
+
     /// Starts an isolated run of a request; returns `false` while another isolated run of the same request
     /// may still be running.
     pub fn begin_isolated_run(&mut self, fingerprint: u64, now: Duration) -> bool {
--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -260,7 +260,15 @@
         request_id,
     };
     let fingerprint = request_fingerprint(&request, host, team.as_deref());
-    if shared.strike_table().restriction(fingerprint, shared.now()) == Restriction::Quarantined {
+    let (restriction, known_strikes) = {
+        let strike_table = shared.strike_table();
+        let now = shared.now();
+        (
+            strike_table.restriction(fingerprint, now),
+            strike_table.strike_count(fingerprint, now),
+        )
+    };
+    if restriction == Restriction::Quarantined {
         return Err(RequestError::not_run(RequestErrorKind::Quarantined));
     }
     if let Some(team) = &team {
@@ -289,6 +297,7 @@
         arrived_at,
         deadline,
         fingerprint,
+        known_strikes,
         aggregator_count: None,
     })
 }
--- a/crates/limpet-gateway/src/query/aggregation.rs
+++ b/crates/limpet-gateway/src/query/aggregation.rs
@@ -72,6 +72,9 @@
         arrived_at: now.checked_sub(waited).unwrap_or(now),
         deadline: now + request.time_left.min(route.timeout),
         fingerprint: request.fingerprint,
+        known_strikes: shared
+            .strike_table()
+            .strike_count(request.fingerprint, shared.now()),
         aggregator_count,
     };
     match run_scatter_gather(Arc::new(query), gather).await {
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -65,6 +65,11 @@
     let result = exchange(query, target, connections_limit).await;
     let (latency, now) = timer.stop();
     let mean_latency = shared.with_route_latency(&query.route.name, |latency| latency.mean());
+    if result.is_ok() {
+        shared
+            .strike_table()
+            .record_query_success(query.fingerprint, now);
+    }
     match &result {
         Ok(reply) if reply.status.is_server_error() => {
             target.health().record_failure(now);
--- a/crates/limpet-gateway/src/query/crash_check.rs
+++ b/crates/limpet-gateway/src/query/crash_check.rs
@@ -6,7 +6,6 @@
     time::Duration, //
 };
 
-use limpet_types::hash::stable_hash_parts;
 use tokio::{
     net::TcpStream,
     time::{
@@ -44,6 +43,7 @@
     let task_shared = Arc::clone(&shared);
     let target = Arc::clone(target);
     let fingerprint = query.fingerprint;
+    let known_strikes = query.known_strikes;
     let request_id: Box<str> = query.request_id().into();
     task_shared.spawn_background(async move {
         sleep(CRASH_CHECK_DELAY).await;
@@ -54,15 +54,11 @@
         }
         let now = shared.now();
         target.pool().close_idle();
-        // All crashes under one request id count as one strike: a request that crashes a target of each
-        // shard, or that is in flight while many targets go down at once, gets a second strike only if it
-        // is sent again.
-        let crash_id = stable_hash_parts(&[request_id.as_bytes()]);
         shared
             .strike_table()
-            .record_crash(crash_id, &[fingerprint], now);
+            .record_query_crash(fingerprint, known_strikes, now);
         tracing::warn!(
-            %request_id, target_id = %target.id, fingerprint, crash = crash_id,
+            %request_id, target_id = %target.id, fingerprint, known_strikes,
             "target crashed while it ran a request"
         );
         metrics::counter!("limpet_target_crashes_total").increment(1);
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -33,6 +33,8 @@
     pub deadline: Instant,
     /// Hash that identifies repetitions of the same request, see [`request_fingerprint`].
     pub fingerprint: u64,
+    /// Number of strikes of the query when it began.
+    pub known_strikes: usize,
     /// Number of aggregators if this process is one of them and the query is a scatter-gather one.
     pub aggregator_count: Option<usize>,
 }
--- a/crates/limpet-gateway/tests/quarantine.rs
+++ b/crates/limpet-gateway/tests/quarantine.rs
@@ -2,7 +2,16 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
 
 use http::Method;
 use limpet_gateway::query::is_no_listener;
@@ -96,6 +105,64 @@
     assert_eq!(get(gateway.caller_addr, "/one/other").await.status, 200);
 }
 
+/// Guards against refusing a popular query everywhere because copies of it were in flight on targets that crashed, one of
+/// them or several at once, once or again later.
+async fn popular_query_survives_crashes(crashing_count: usize) {
+    let is_crash_due = Arc::new(AtomicBool::new(false));
+    let mut targets = Vec::new();
+    let deployment = Deployment::new();
+    deployment.publish_config(config(
+        1,
+        vec![route("/one/", Idempotency::Idempotent, "s")],
+        &["s"],
+    ));
+    for index in 0..6 {
+        let is_crash_due = Arc::clone(&is_crash_due);
+        let target = FakeTarget::start(move |_, _| match is_crash_due.load(Ordering::Relaxed) {
+            true if index < crashing_count => Behaviour::Crash,
+            _ => Behaviour::Answer(200, b"good", Duration::from_millis(30)),
+        })
+        .await;
+        deployment.publish_target(&format!("t{index}"), target_record("s", target.addr));
+        targets.push(target);
+    }
+    let gateway = RunningGateway::start(&deployment).await;
+    let addr = gateway.caller_addr;
+    let send_copies = || async move {
+        let copies: Vec<_> = (0..30)
+            .map(|number| {
+                tokio::spawn(async move {
+                    let id = format!("copy-{number}");
+                    let headers = [("t-key", "key-a"), ("t-id", id.as_str())];
+                    call(addr, Method::GET, "/one/popular", &headers, b"")
+                        .await
+                        .status
+                })
+            })
+            .collect();
+        let mut served_count = 0;
+        for copy in copies {
+            served_count += usize::from(copy.await.unwrap() == 200);
+        }
+        served_count
+    };
+    assert_eq!(send_copies().await, 30);
+    is_crash_due.store(true, Ordering::Relaxed);
+    send_copies().await;
+    sleep(CRASH_CHECK_WAIT).await;
+    is_crash_due.store(false, Ordering::Relaxed);
+    for _ in 0..3 {
+        assert_eq!(send_copies().await, 30);
+    }
+}
+
+limpet_testkit::async_cases! {
+    popular_query_survives_crashes:
+    popular_query_at_one_crash => 1,
+    popular_query_at_two_crashes => 2,
+    popular_query_at_four_crashes => 4,
+}
+
 /// Guards against refusing a request because its replies were lost although no target crashed.
 #[tokio::test]
 async fn lost_replies_do_not_count_as_crashes() {
