Give shutdown and aggregation slots files of their own

ShutdownState holds the progress of a stop, AggregationSlots the queries run for others; no behaviour changes.

--- a/crates/limpet-decide/src/refresh/planner.rs
+++ b/crates/limpet-decide/src/refresh/planner.rs
@@ -1,4 +1,4 @@
-//! The steps of one process.
+//! The calls by which one process keeps its state current.
 
 use std::{
     collections::HashMap,
--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -94,7 +94,7 @@
         // An outcome that is known at the end is better than none.
         biased;
         outcome = answer_after_panic(run) => outcome,
-        () = shared.requests_cancelled() => Err(RequestError::may_have_run(RequestErrorKind::ShuttingDown)),
+        () = shared.shutdown.requests_cancelled() => Err(RequestError::may_have_run(RequestErrorKind::ShuttingDown)),
     };
     let duration = arrived_at.elapsed();
     let outcome_label = match &outcome {
@@ -151,7 +151,7 @@
     let body = timeout(caller_timeout.unwrap_or(limits.head_timeout), body);
     let body = tokio::select! {
         body = body => body,
-        () = shared.requests_cancelled() => return Err(shutdown_error()),
+        () = shared.shutdown.requests_cancelled() => return Err(shutdown_error()),
     };
     let body = body.map_err(|_| RequestError::not_run(RequestErrorKind::BodyTooSlow))?;
     let body = body.map_err(|error| body_error(&error))?;
@@ -228,11 +228,13 @@
 
     let request_timeout = caller_timeout.unwrap_or(route.timeout).min(route.timeout);
     let response_margin = RESPONSE_MARGIN.min(request_timeout / 10);
-    if !shared.may_start_request(&route) {
+    let mean_latency = shared.with_route_latency(&route.name, |latency| latency.mean());
+    if !shared.shutdown.may_start_request(&route, mean_latency) {
         return Err(shutdown_error());
     }
     let deadline = arrived_at + request_timeout - response_margin;
     let deadline = shared
+        .shutdown
         .cancel_time()
         .map_or(deadline, |cancel_time| deadline.min(cancel_time));
     if deadline <= Instant::now() {
--- a/crates/limpet-gateway/src/frontend/server.rs
+++ b/crates/limpet-gateway/src/frontend/server.rs
@@ -82,7 +82,7 @@
             return;
         }
         tracing::warn!("requests cancelled at shutdown");
-        self.shared.cancel_requests();
+        self.shared.shutdown.cancel_requests();
         if timeout_at(close_at, &mut accept_task).await.is_err() {
             tracing::warn!("connections closed without an answer at shutdown");
             accept_task.abort();
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -139,7 +139,7 @@
     let shutdown_timeout = settings.shutdown_timeout;
     tracing::info!(limit_ms = shutdown_timeout.as_millis(), "gateway stopping");
     let schedule = StopSchedule::new(shutdown_timeout);
-    shared.start_drain(stop_started);
+    shared.shutdown.begin(stop_started);
     sleep(schedule.notice_end()).await;
     frontend_server
         .stop(
@@ -148,7 +148,7 @@
         )
         .await;
     let aggregation_timeout = schedule.close_at().saturating_sub(stop_started.elapsed());
-    if timeout(aggregation_timeout, shared.aggregations_finished())
+    if timeout(aggregation_timeout, shared.aggregation_slots.finished())
         .await
         .is_err()
     {
--- a/crates/limpet-gateway/src/lib.rs
+++ b/crates/limpet-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! ([`HeaderNames`]), the [`Settings`] and a [`Source`] of the deployment state.
 
 pub mod admin;
+pub mod aggregation_slots;
 pub mod clock;
 pub mod deployment_state;
 pub mod frontend;
@@ -19,6 +20,7 @@
 pub mod route_table;
 pub mod settings;
 pub mod shared_state;
+pub mod shutdown_state;
 pub mod source;
 pub mod state_updater;
 pub mod target;
--- a/crates/limpet-gateway/src/query/aggregation.rs
+++ b/crates/limpet-gateway/src/query/aggregation.rs
@@ -41,7 +41,7 @@
 
 /// Runs a query that another process sent, or refuses it.
 pub async fn serve_aggregation(shared: &Arc<SharedState>, request: GatherRequest) -> GatherReply {
-    if shared.is_draining() {
+    if shared.shutdown.has_begun() {
         return GatherReply::Refused(GatherRefusal::Stopping);
     }
     let Some((route_table, route)) = find_route(shared, &request) else {
@@ -50,7 +50,7 @@
     let Destination::ScatterGather(gather) = &route.destination else {
         return GatherReply::Refused(GatherRefusal::OtherConfig);
     };
-    let Some(_guard) = shared.begin_aggregation() else {
+    let Some(_guard) = shared.aggregation_slots.begin() else {
         metrics::counter!("limpet_aggregations_total", "result" => "busy").increment(1);
         return GatherReply::Refused(GatherRefusal::Busy);
     };
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
             AtomicU64,
             AtomicUsize,
@@ -39,11 +39,11 @@
 use rand::Rng;
 use tokio::{
     sync::watch,
-    task::JoinSet,
-    time::Instant, //
+    task::JoinSet, //
 };
 
 use crate::{
+    aggregation_slots::AggregationSlots,
     clock::Clock,
     deployment_state::DeploymentState,
     header_names::HeaderNames,
@@ -60,6 +60,7 @@
     route_latency::RouteLatency,
     route_table::RouteTable,
     settings::Settings,
+    shutdown_state::ShutdownState,
     target::{
         Fleet,
         Target, //
@@ -71,24 +72,9 @@
 /// one may be routed to a VM that is down.
 const REFUSED_CONNECTIONS_DIVISOR: usize = 4;
 
-/// Number of queries that a process runs for others at the same time, per core of its processor. One query is
-/// a burst of requests to all shards.
-const AGGREGATIONS_PER_CORE: f64 = 8.0;
 /// Idle timeout of connections to targets before one was seen, in milliseconds.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 3000;
 
-/// Counts a query that is run for another process until it is dropped.
-#[derive(Debug)]
-pub struct AggregationGuard(Arc<SharedState>);
-
-impl Drop for AggregationGuard {
-    fn drop(&mut self) {
-        self.0
-            .aggregation_count
-            .send_modify(|count| *count = count.saturating_sub(1));
-    }
-}
-
 /// Returns what a process with these settings announces about itself.
 fn announcement(settings: &Settings) -> Announcement {
     Announcement {
@@ -112,10 +98,8 @@
     pub clock: Clock,
     /// Routes, API keys and teams in force; `None` before the first config is installed.
     pub route_table: ArcSwapOption<RouteTable>,
-    /// When the shutdown of the process began.
-    stop_started_at: OnceLock<Instant>,
-    /// Whether the requests in flight are cancelled.
-    cancel_sender: watch::Sender<bool>,
+    /// Progress of the shutdown of the process.
+    pub shutdown: ShutdownState,
     /// Number of open caller connections.
     caller_connection_count: AtomicUsize,
     /// Latest revision of the deployment state.
@@ -144,8 +128,8 @@
     query_rate: Mutex<QueryRate>,
     /// Time after which targets close an idle connection, as last seen, in milliseconds.
     idle_timeout_ms: AtomicU64,
-    /// Number of queries that this process runs for others.
-    aggregation_count: watch::Sender<usize>,
+    /// Queries that this process runs for others.
+    pub aggregation_slots: AggregationSlots,
 }
 
 /// Locks a field. A poisoned lock is accepted: the fields hold plain data that stays usable after a panic
@@ -167,13 +151,14 @@
         let mut aggregators = AggregatorDirectory::new();
         aggregators.insert(settings.peer_addr, announcement(&settings).into_node());
         let deployment_state = DeploymentState::new(settings.lapse_limits);
+        let aggregation_slots = AggregationSlots::new(settings.capacity_cores);
+        let shutdown = ShutdownState::new(StopSchedule::new(settings.shutdown_timeout));
         Self {
             settings,
             header_names,
             clock: Clock::new(),
             route_table: ArcSwapOption::empty(),
-            stop_started_at: OnceLock::new(),
-            cancel_sender: watch::Sender::new(false),
+            shutdown,
             caller_connection_count: AtomicUsize::new(0),
             revision_sender: watch::Sender::new(0),
             deployment_state: Mutex::new(deployment_state),
@@ -191,7 +176,7 @@
             peer_ejection: Mutex::new(PeerEjection::new()),
             query_rate: Mutex::new(QueryRate::new()),
             idle_timeout_ms: AtomicU64::new(DEFAULT_IDLE_TIMEOUT_MS),
-            aggregation_count: watch::Sender::new(0),
+            aggregation_slots,
         }
     }
 
@@ -276,25 +261,6 @@
             .store(idle_timeout_ms, Ordering::Relaxed);
     }
 
-    /// Counts a query that this process begins to run for another one; returns `None` if it already runs as
-    /// many as its processor can.
-    pub fn begin_aggregation(self: &Arc<Self>) -> Option<AggregationGuard> {
-        let limit = (self.settings.capacity_cores * AGGREGATIONS_PER_CORE) as usize;
-        let is_begun = self.aggregation_count.send_if_modified(|count| {
-            let has_capacity = *count < limit.max(1);
-            *count += usize::from(has_capacity);
-            has_capacity
-        });
-        is_begun.then(|| AggregationGuard(Arc::clone(self)))
-    }
-
-    /// Waits until no query of another process is running.
-    pub async fn aggregations_finished(&self) {
-        let mut count_receiver = self.aggregation_count.subscribe();
-        // The sender lives in `self`, so the wait cannot fail.
-        let _ = count_receiver.wait_for(|count| *count == 0).await;
-    }
-
     /// Returns the time since the start of the process.
     pub fn now(&self) -> Duration {
         self.clock.now()
@@ -470,46 +436,6 @@
         lock(&self.retry_budgets).retain(|name, _| route_table.service(name).is_some());
     }
 
-    /// Returns whether the process is shutting down.
-    pub fn is_draining(&self) -> bool {
-        self.stop_started_at.get().is_some()
-    }
-
-    /// Starts the shutdown: the process is no longer ready and asks callers to close their connections.
-    pub fn start_drain(&self, stop_started_at: Instant) {
-        // Later calls change nothing.
-        let _ = self.stop_started_at.set(stop_started_at);
-    }
-
-    /// Returns when requests in flight are cancelled; `None` if the process is not shutting down.
-    pub fn cancel_time(&self) -> Option<Instant> {
-        let schedule = StopSchedule::new(self.settings.shutdown_timeout);
-        let stop_started_at = self.stop_started_at.get()?;
-        Some(*stop_started_at + schedule.cancel_at())
-    }
-
-    /// Returns whether a request of a route may start; during a shutdown only if it is expected to end in time.
-    pub fn may_start_request(&self, route: &Route) -> bool {
-        let Some(stop_started_at) = self.stop_started_at.get() else {
-            return true;
-        };
-        let schedule = StopSchedule::new(self.settings.shutdown_timeout);
-        let mean_latency = self.with_route_latency(&route.name, |latency| latency.mean());
-        schedule.may_start(stop_started_at.elapsed(), route.latency_goal, mean_latency)
-    }
-
-    /// Cancels the requests in flight; their callers get an error.
-    pub fn cancel_requests(&self) {
-        self.cancel_sender.send_replace(true);
-    }
-
-    /// Waits until [`SharedState::cancel_requests`] is called.
-    pub async fn requests_cancelled(&self) {
-        let mut cancel_receiver = self.cancel_sender.subscribe();
-        // The sender lives in `self`, so the wait cannot fail.
-        let _ = cancel_receiver.wait_for(|is_cancelled| *is_cancelled).await;
-    }
-
     /// Counts a new caller connection.
     pub fn add_caller_connection(&self) {
         self.caller_connection_count.fetch_add(1, Ordering::Relaxed);
@@ -527,7 +453,8 @@
 
     /// Returns whether a caller is asked to close its connection after an answer.
     pub fn should_close_connection(&self) -> bool {
-        self.is_draining() || self.caller_connection_count() > self.settings.caller_connections_max
+        self.shutdown.has_begun()
+            || self.caller_connection_count() > self.settings.caller_connections_max
     }
 
     /// Returns whether a caller is asked to close its connection after a refused request that did not run.
@@ -542,7 +469,7 @@
     /// Returns whether the process can serve requests: it has a config and a target, and is not shutting
     /// down.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining()
+        !self.shutdown.has_begun()
             && self.route_table.load().is_some()
             && self.deployment_state().has_targets()
     }
--- a/crates/limpet-gateway/tests/target_notices.rs
+++ b/crates/limpet-gateway/tests/target_notices.rs
@@ -173,9 +173,9 @@
     assert_eq!(get(gateway.caller_addr, "/one/a").await.status, 200);
 }
 
-/// Guards against a burst of requests that were waiting for a connection when the target announced a pause.
+/// Guards against a burst of requests that are sent together in a pause.
 #[tokio::test]
-async fn requests_that_wait_are_not_sent_in_a_pause() {
+async fn burst_is_not_sent_in_a_pause() {
     let pausing = FakeTarget::start(|index, _| match index {
         0 => Behaviour::AnswerWith(503, b"", "t-not-run: 1\r\nretry-after: 30\r\n"),
         _ => Behaviour::Answer(200, RECORD, Duration::ZERO),
