Take a watch for held only if its revision is unchanged

A watch that returns early with items that mean nothing here has no changes either, but was not held until its end; its state was taken for up to the rest of the hold younger than is certain. The revision tells the two apart, as it does for replies of other processes. Tests of follower.rs pass.

--- a/crates/limpet-gateway/src/state_updater.rs
+++ b/crates/limpet-gateway/src/state_updater.rs
@@ -274,7 +274,7 @@
         let error = match timeout(reply_timeout, reply).await {
             Ok(Ok(update)) => {
                 self.needs_full_read = false;
-                self.apply_source_update(&update, is_full_read, requested_at, hold_max)
+                self.apply_source_update(&update, is_full_read, revision, requested_at, hold_max)
                     .await;
                 return;
             }
@@ -302,20 +302,22 @@
         }
     }
 
-    /// Applies a reply of the source to a call sent at `requested_at`.
+    /// Applies a reply of the source to a call sent at `requested_at` by a process at `own_revision`.
     async fn apply_source_update(
         &mut self,
         update: &StateUpdate,
         is_full_read: bool,
+        own_revision: u64,
         requested_at: Duration,
         hold_max: Duration,
     ) {
         self.set_source_status(SourceStatus::Up, "");
         let has_changes = !update.changes.is_empty();
-        // A reply without changes was delayed, but how long it was on its way is not known.
-        let as_of = match is_full_read || has_changes {
-            true => requested_at,
-            false => (requested_at + hold_max).min(self.shared.suspend_aware_now()),
+        // A reply at the same revision was delayed, but how long it was on its way is not known.
+        let is_held = !is_full_read && update.revision == own_revision;
+        let as_of = match is_held {
+            true => (requested_at + hold_max).min(self.shared.suspend_aware_now()),
+            false => requested_at,
         };
         apply_update(&self.shared, update, as_of);
         count_answer("source", SourceAnswer::Answered.label());
