--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod grant;
 pub mod hedge;
 pub mod lease;
+pub mod peer_load;
 pub mod placement;
 pub mod plan;
 pub mod pool;
--- /dev/null
+++ b/crates/limpet-decide/src/peer_load/load_tracker.rs
@@ -0,0 +1,195 @@
+//! What a process reports about its own load.
+
+use std::{
+    cmp::Reverse,
+    collections::HashMap,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use limpet_types::message::{
+    GatherLoad,
+    LoadReport,
+    NameHash,
+    ServiceUse,
+    TargetUse, //
+};
+
+use super::{
+    DecayedRate,
+    LOAD_REPORT_PERIOD,
+    SERVICES_MAX,
+    TARGETS_MAX, //
+};
+
+/// Rates below this are not reported: one request in ten seconds.
+const RATE_MIN_PER_10_S: u16 = 1;
+
+/// Requests of this process to one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetRates {
+    in_flight: u32,
+    sent: DecayedRate,
+    rejected: DecayedRate,
+}
+
+/// Load of this process, from which its reports are built.
+#[derive(Debug, Default)]
+pub struct LoadTracker {
+    gathers: GatherLoad,
+    requests: HashMap<NameHash, DecayedRate>,
+    targets: HashMap<NameHash, TargetRates>,
+    /// Rates of the services in the latest report, in requests per second.
+    reported_rates: HashMap<NameHash, f64>,
+    sequence: u32,
+    reported_at: Option<Duration>,
+    /// Whether the latest report said anything; one more is sent after it so that the load ends with the peers too.
+    was_loaded: bool,
+}
+
+impl LoadTracker {
+    /// Creates the tracker of a process without load.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the scatter-gather queries of this process.
+    pub const fn set_gathers(&mut self, gathers: GatherLoad) {
+        self.gathers = gathers;
+    }
+
+    /// Returns the scatter-gather queries of this process.
+    pub const fn gathers(&self) -> GatherLoad {
+        self.gathers
+    }
+
+    /// Records a request for a service.
+    pub fn record_request(&mut self, service: NameHash, now: Duration) {
+        self.requests.entry(service).or_default().record(1.0, now);
+    }
+
+    /// Records a request that is sent to a target; [`LoadTracker::record_end`] must follow.
+    pub fn record_send(&mut self, target: NameHash, now: Duration) {
+        let rates = self.targets.entry(target).or_default();
+        rates.in_flight += 1;
+        rates.sent.record(1.0, now);
+    }
+
+    /// Records that a request to a target ended.
+    pub fn record_end(&mut self, target: NameHash) {
+        if let Some(rates) = self.targets.get_mut(&target) {
+            rates.in_flight = rates.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Records that a target rejected a request as full.
+    pub fn record_rejection(&mut self, target: NameHash, now: Duration) {
+        let rates = self.targets.entry(target).or_default();
+        rates.rejected.record(1.0, now);
+    }
+
+    /// Returns the rate of requests for a service that the latest report stated, in requests per second.
+    pub fn reported_rate(&self, service: NameHash) -> Option<f64> {
+        self.reported_rates.get(&service).copied()
+    }
+
+    /// Builds the next report; returns `None` if none is due or there is nothing to say.
+    pub fn next_report(
+        &mut self,
+        node: u64,
+        addr: SocketAddr,
+        now: Duration,
+    ) -> Option<LoadReport> {
+        let is_due = self
+            .reported_at
+            .is_none_or(|reported_at| now.saturating_sub(reported_at) >= LOAD_REPORT_PERIOD);
+        if !is_due {
+            return None;
+        }
+        let services = self.used_services(now);
+        let targets = self.used_targets(now);
+        self.reported_rates = services
+            .iter()
+            .map(|entry| (entry.service, f64::from(entry.requests_per_10_s) / 10.0))
+            .collect();
+        let is_loaded = !services.is_empty()
+            || !targets.is_empty()
+            || self.gathers.running > 0
+            || self.gathers.waiting > 0;
+        let says_something = is_loaded || self.was_loaded;
+        self.was_loaded = is_loaded;
+        if !says_something {
+            return None;
+        }
+        self.reported_at = Some(now);
+        self.sequence = self.sequence.wrapping_add(1);
+        Some(LoadReport {
+            node,
+            addr,
+            sequence: self.sequence,
+            gathers: self.gathers,
+            services,
+            targets,
+        })
+    }
+
+    /// Returns the services with the highest rates; forgets those without requests.
+    fn used_services(&mut self, now: Duration) -> Vec<ServiceUse> {
+        self.requests
+            .retain(|_, rate| per_10_s(rate, now) >= RATE_MIN_PER_10_S);
+        let mut services: Vec<ServiceUse> = self
+            .requests
+            .iter()
+            .map(|(service, rate)| ServiceUse {
+                service: *service,
+                requests_per_10_s: per_10_s(rate, now),
+            })
+            .collect();
+        services.sort_unstable_by_key(|entry| (Reverse(entry.requests_per_10_s), entry.service));
+        services.truncate(SERVICES_MAX);
+        services
+    }
+
+    /// Returns the targets with rejections first, then those with most requests; forgets those without requests.
+    fn used_targets(&mut self, now: Duration) -> Vec<TargetUse> {
+        self.targets.retain(|_, rates| {
+            rates.in_flight > 0 || per_10_s(&rates.sent, now) >= RATE_MIN_PER_10_S
+        });
+        let mut targets: Vec<TargetUse> = self
+            .targets
+            .iter()
+            .map(|(target, rates)| TargetUse {
+                target: *target,
+                in_flight: u8::try_from(rates.in_flight).unwrap_or(u8::MAX),
+                requests_per_10_s: per_10_s(&rates.sent, now),
+                rejected_255ths: rates.rejected_255ths(now),
+            })
+            .collect();
+        targets.sort_unstable_by_key(|entry| {
+            (
+                Reverse(entry.rejected_255ths),
+                Reverse(entry.requests_per_10_s),
+                entry.target,
+            )
+        });
+        targets.truncate(TARGETS_MAX);
+        targets
+    }
+}
+
+impl TargetRates {
+    /// Returns the share of the recent requests that the target rejected, in 255ths.
+    fn rejected_255ths(&self, now: Duration) -> u8 {
+        let sent = self.sent.weight_at(now);
+        let share = match sent > 0.0 {
+            true => (self.rejected.weight_at(now) / sent).min(1.0),
+            false => 0.0,
+        };
+        (share * f64::from(u8::MAX)).round() as u8
+    }
+}
+
+/// Returns a rate in events per ten seconds.
+fn per_10_s(rate: &DecayedRate, now: Duration) -> u16 {
+    (rate.per_s(now) * 10.0).round() as u16
+}
--- /dev/null
+++ b/crates/limpet-decide/src/peer_load/mod.rs
@@ -0,0 +1,38 @@
+//! Load that processes report to each other, beside what each observes itself.
+//!
+//! Answers this load: in a large fleet each process sees a small part of the requests that a target gets, and what it
+//! hears from the others is late. Reports are therefore weighted by their age, and without them a process decides
+//! on its own observations.
+
+mod decayed_rate;
+mod load_tracker;
+mod peer_loads;
+
+use std::time::Duration;
+
+use limpet_types::{
+    hash::stable_hash,
+    message::NameHash, //
+};
+
+pub use self::{
+    decayed_rate::DecayedRate,
+    load_tracker::LoadTracker,
+    peer_loads::{
+        PeerLoads,
+        ReportedGatherLoad,
+        ReportedTargetLoad, //
+    },
+};
+
+/// Shortest time between two load reports of a process.
+pub const LOAD_REPORT_PERIOD: Duration = Duration::from_millis(400);
+/// Maximum number of services in a report.
+pub const SERVICES_MAX: usize = 64;
+/// Maximum number of targets in a report.
+pub const TARGETS_MAX: usize = 32;
+
+/// Returns the hash by which load reports name a service or a target.
+pub fn name_hash(name: &str) -> NameHash {
+    stable_hash(name.as_bytes()) as NameHash
+}
--- /dev/null
+++ b/crates/limpet-decide/src/peer_load/peer_loads.rs
@@ -0,0 +1,164 @@
+//! Load reports of the other processes.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use limpet_types::message::{
+    GatherLoad,
+    LoadReport,
+    NameHash, //
+};
+
+/// Age at which a report is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(3);
+/// Age at which a report has half of its weight.
+const HALF_LIFE: Duration = Duration::from_secs(1);
+
+/// Latest report of one process.
+#[derive(Clone, Debug)]
+struct PeerLoad {
+    report: LoadReport,
+    received_at: Duration,
+}
+
+/// Scatter-gather queries of another process, as it reported them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReportedGatherLoad {
+    /// Queries of the process.
+    pub load: GatherLoad,
+    /// Time since the report was received.
+    pub age: Duration,
+}
+
+/// Load of one target by the requests of all other processes, weighted by the age of their reports.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ReportedTargetLoad {
+    /// Number of requests in flight.
+    pub in_flight: f64,
+    /// Requests per second.
+    pub requests_per_s: f64,
+    /// Share of the recent requests that the target rejected as full, from 0 to 1.
+    pub rejected_share: f64,
+}
+
+/// Latest load report of each other process.
+#[derive(Debug, Default)]
+pub struct PeerLoads {
+    by_addr: HashMap<SocketAddr, PeerLoad>,
+}
+
+impl PeerLoads {
+    /// Creates the state of a process that has heard no report.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Stores a report; returns false if a later one of the same sender is known.
+    pub fn record(&mut self, report: LoadReport, now: Duration) -> bool {
+        let is_outdated = self.by_addr.get(&report.addr).is_some_and(|known| {
+            let is_later = report.sequence.wrapping_sub(known.report.sequence) as i32 > 0;
+            known.report.node == report.node && !is_later
+        });
+        if !is_outdated {
+            let peer_load = PeerLoad {
+                report,
+                received_at: now,
+            };
+            self.by_addr.insert(peer_load.report.addr, peer_load);
+        }
+        !is_outdated
+    }
+
+    /// Forgets the reports that are too old; returns the processes whose reports stopped.
+    pub fn remove_outdated(&mut self, now: Duration) -> Vec<SocketAddr> {
+        let is_outdated = |peer_load: &PeerLoad| peer_load.age(now) >= FORGET_AFTER;
+        let removed: Vec<SocketAddr> = self
+            .by_addr
+            .iter()
+            .filter(|(_, peer_load)| is_outdated(peer_load))
+            .map(|(addr, _)| *addr)
+            .collect();
+        self.by_addr.retain(|_, peer_load| !is_outdated(peer_load));
+        removed
+    }
+
+    /// Forgets the report of a process that left.
+    pub fn remove(&mut self, addr: SocketAddr) {
+        self.by_addr.remove(&addr);
+    }
+
+    /// Returns the number of processes whose load is known.
+    pub fn len(&self) -> usize {
+        self.by_addr.len()
+    }
+
+    /// Returns whether no process has reported its load.
+    pub fn is_empty(&self) -> bool {
+        self.by_addr.is_empty()
+    }
+
+    /// Returns the scatter-gather queries of a process; `None` if its latest report is too old.
+    pub fn gather_load(&self, addr: SocketAddr, now: Duration) -> Option<ReportedGatherLoad> {
+        let peer_load = self.by_addr.get(&addr)?;
+        let age = peer_load.age(now);
+        (age < FORGET_AFTER).then_some(ReportedGatherLoad {
+            load: peer_load.report.gathers,
+            age,
+        })
+    }
+
+    /// Returns the part of all requests for a service that this process has, by the rates of the latest reports;
+    /// `None` if no other process has reported.
+    ///
+    /// `own_reported_per_s` must be the rate of the latest own report: if all processes compare the same rates,
+    /// their parts add up to one.
+    pub fn service_share(
+        &self,
+        service: NameHash,
+        own_reported_per_s: f64,
+        now: Duration,
+    ) -> Option<f64> {
+        let mut total_per_s = own_reported_per_s;
+        let mut has_fresh = false;
+        for peer_load in self.fresh(now) {
+            has_fresh = true;
+            let services = &peer_load.report.services;
+            let entry = services.iter().find(|entry| entry.service == service);
+            total_per_s += entry.map_or(0.0, |entry| f64::from(entry.requests_per_10_s) / 10.0);
+        }
+        (has_fresh && total_per_s > 0.0).then(|| own_reported_per_s / total_per_s)
+    }
+
+    /// Returns the load of all targets that others reported, by the hash of their ids.
+    pub fn target_loads(&self, now: Duration) -> HashMap<NameHash, ReportedTargetLoad> {
+        let mut loads: HashMap<NameHash, ReportedTargetLoad> = HashMap::new();
+        for peer_load in self.fresh(now) {
+            let weight = 0.5_f64.powf(peer_load.age(now).as_secs_f64() / HALF_LIFE.as_secs_f64());
+            for entry in &peer_load.report.targets {
+                let load = loads.entry(entry.target).or_default();
+                load.in_flight += weight * f64::from(entry.in_flight);
+                load.requests_per_s += weight * f64::from(entry.requests_per_10_s) / 10.0;
+                let rejected_share = weight * f64::from(entry.rejected_255ths) / f64::from(u8::MAX);
+                load.rejected_share = load.rejected_share.max(rejected_share);
+            }
+        }
+        loads
+    }
+
+    /// Returns the reports that are not too old.
+    fn fresh(&self, now: Duration) -> impl Iterator<Item = &PeerLoad> {
+        self.by_addr
+            .values()
+            .filter(move |peer_load| peer_load.age(now) < FORGET_AFTER)
+    }
+}
+
+impl PeerLoad {
+    /// Returns the time since the report was received.
+    const fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.received_at)
+    }
+}
--- /dev/null
+++ b/crates/limpet-decide/tests/peer_load.rs
@@ -0,0 +1,171 @@
+//! Load reports: what a process reports, and what it makes of the reports of others.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use limpet_decide::peer_load::{
+    LOAD_REPORT_PERIOD,
+    LoadTracker,
+    PeerLoads,
+    SERVICES_MAX,
+    TARGETS_MAX,
+    name_hash, //
+};
+use limpet_types::message::{
+    GatherLoad,
+    LoadReport,
+    TargetUse, //
+};
+
+fn addr(index: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index], 7100))
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns the report of a process that sends `per_s` requests per second to the service `s` and the target `t`.
+fn report(index: u8, per_s: u32, now: Duration) -> LoadReport {
+    let mut tracker = LoadTracker::new();
+    for request in 0..per_s * 10 {
+        let sent_at = now.saturating_sub(Duration::from_secs(10))
+            + Duration::from_secs(10) * request / (per_s * 10);
+        tracker.record_request(name_hash("s"), sent_at);
+        tracker.record_send(name_hash("t"), sent_at);
+        tracker.record_end(name_hash("t"));
+    }
+    tracker
+        .next_report(u64::from(index), addr(index), now)
+        .unwrap()
+}
+
+/// Guards against rates that are off by the time constant of the decay.
+#[test]
+fn reported_rate_is_the_rate_of_requests() {
+    let report = report(1, 20, at(10_000));
+    let per_s = f64::from(report.services[0].requests_per_10_s) / 10.0;
+    assert!((18.0..22.0).contains(&per_s), "{per_s}");
+}
+
+/// Guards against a report that an idle process sends again and again.
+#[test]
+fn idle_process_reports_its_last_load_once_more_and_then_nothing() {
+    let mut tracker = LoadTracker::new();
+    assert!(tracker.next_report(1, addr(1), at(0)).is_none());
+    tracker.set_gathers(GatherLoad {
+        running: 1,
+        ..GatherLoad::default()
+    });
+    assert!(tracker.next_report(1, addr(1), at(1000)).is_some());
+    tracker.set_gathers(GatherLoad::default());
+    assert!(
+        tracker.next_report(1, addr(1), at(1001)).is_none(),
+        "not due"
+    );
+    assert!(
+        tracker
+            .next_report(1, addr(1), at(1000) + LOAD_REPORT_PERIOD)
+            .is_some()
+    );
+    assert!(
+        tracker
+            .next_report(1, addr(1), at(1000) + LOAD_REPORT_PERIOD * 2)
+            .is_none()
+    );
+}
+
+/// Guards against datagrams that grow with the number of targets, and against a full target that is left out.
+#[test]
+fn report_is_bounded_and_holds_the_rejecting_target() {
+    let mut tracker = LoadTracker::new();
+    for index in 0..500 {
+        let name = format!("{index}");
+        for _ in 0..10 {
+            tracker.record_request(name_hash(&name), at(0));
+            tracker.record_send(name_hash(&name), at(0));
+        }
+    }
+    tracker.record_send(name_hash("full"), at(0));
+    tracker.record_rejection(name_hash("full"), at(0));
+    let report = tracker.next_report(1, addr(1), at(10)).unwrap();
+    assert_eq!(report.services.len(), SERVICES_MAX);
+    assert_eq!(report.targets.len(), TARGETS_MAX);
+    assert_eq!(report.targets[0].target, name_hash("full"));
+    assert_eq!(report.targets[0].rejected_255ths, u8::MAX);
+}
+
+/// Guards against a late datagram that replaces a newer one, and against a restarted process that stays unheard.
+#[test]
+fn late_reports_are_ignored_and_those_of_a_new_start_are_not() {
+    let mut loads = PeerLoads::new();
+    let older = report(1, 10, at(10_000));
+    let newer = LoadReport {
+        sequence: older.sequence + 1,
+        ..older.clone()
+    };
+    assert!(loads.record(newer, at(10_000)));
+    assert!(!loads.record(older.clone(), at(10_100)));
+    let restarted = LoadReport { node: 9, ..older };
+    assert!(loads.record(restarted, at(10_200)));
+}
+
+/// Guards against reports that keep their full weight, or any weight, after their sender fell silent.
+#[test]
+fn reports_lose_weight_and_are_forgotten() {
+    let mut loads = PeerLoads::new();
+    loads.record(report(1, 20, at(10_000)), at(10_000));
+    let load_at = |now| loads.target_loads(now).get(&name_hash("t")).copied();
+    let fresh = load_at(at(10_000)).unwrap().requests_per_s;
+    let older = load_at(at(11_000)).unwrap().requests_per_s;
+    assert!((older / fresh - 0.5).abs() < 0.01);
+    assert!(load_at(at(13_000)).is_none());
+    assert!(loads.gather_load(addr(1), at(13_000)).is_none());
+    assert_eq!(loads.remove_outdated(at(13_000)), [addr(1)]);
+}
+
+/// Guards against parts of a service that add up to more than the whole.
+#[test]
+fn shares_of_all_processes_add_up_to_one() {
+    let now = at(10_000);
+    let rates = [5, 20, 40];
+    let reports: Vec<LoadReport> = (0_u8..)
+        .zip(rates)
+        .map(|(i, rate)| report(i, rate, now))
+        .collect();
+    let mut sum = 0.0;
+    for own in &reports {
+        let mut loads = PeerLoads::new();
+        for other in reports.iter().filter(|other| other.addr != own.addr) {
+            loads.record(other.clone(), now);
+        }
+        let own_per_s = f64::from(own.services[0].requests_per_10_s) / 10.0;
+        sum += loads.service_share(name_hash("s"), own_per_s, now).unwrap();
+    }
+    assert!((sum - 1.0).abs() < 1e-9, "{sum}");
+    assert_eq!(
+        PeerLoads::new().service_share(name_hash("s"), 1.0, now),
+        None
+    );
+}
+
+/// Guards against a share of rejections that grows with the number of processes that report it.
+#[test]
+fn rejections_of_several_processes_are_not_added() {
+    let mut loads = PeerLoads::new();
+    for index in 1..5 {
+        let mut report = report(index, 10, at(10_000));
+        report.targets = vec![TargetUse {
+            target: name_hash("t"),
+            in_flight: 1,
+            requests_per_10_s: 10,
+            rejected_255ths: 128,
+        }];
+        loads.record(report, at(10_000));
+    }
+    let load = loads.target_loads(at(10_000))[&name_hash("t")];
+    assert!((load.rejected_share - 0.5).abs() < 0.01);
+    assert!((load.in_flight - 4.0).abs() < 0.01);
+}
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -23,6 +23,10 @@
         QueryRate, //
     },
     cold_share,
+    peer_load::{
+        LoadTracker,
+        PeerLoads, //
+    },
     quarantine::StrikeTable,
     shutdown::StopSchedule,
     spread::{
@@ -124,6 +128,10 @@
     /// Processes that may run scatter-gather queries for this one.
     aggregators: Mutex<AggregatorDirectory>,
     peer_ejection: Mutex<PeerEjection>,
+    /// Load that the other processes report.
+    peer_loads: Mutex<PeerLoads>,
+    /// Load that this process reports.
+    load_tracker: Mutex<LoadTracker>,
     /// Rate of the scatter-gather queries that callers send to this process.
     query_rate: Mutex<QueryRate>,
     /// Time after which targets close an idle connection, as last seen, in milliseconds.
@@ -174,6 +182,8 @@
             peer_client: PeerClient::new(),
             aggregators: Mutex::new(aggregators),
             peer_ejection: Mutex::new(PeerEjection::new()),
+            peer_loads: Mutex::new(PeerLoads::new()),
+            load_tracker: Mutex::new(LoadTracker::new()),
             query_rate: Mutex::new(QueryRate::new()),
             idle_timeout_ms: AtomicU64::new(DEFAULT_IDLE_TIMEOUT_MS),
             aggregation_slots,
@@ -244,6 +254,16 @@
         lock(&self.peer_ejection)
     }
 
+    /// Locks the load that the other processes report.
+    pub fn peer_loads(&self) -> MutexGuard<'_, PeerLoads> {
+        lock(&self.peer_loads)
+    }
+
+    /// Locks the load that this process reports.
+    pub fn load_tracker(&self) -> MutexGuard<'_, LoadTracker> {
+        lock(&self.load_tracker)
+    }
+
     /// Records a scatter-gather query of a caller, and returns whether such queries come so often that the
     /// connections to the targets stay warm.
     pub fn record_scatter_gather(&self) -> bool {
--- a/crates/limpet-types/src/message/mod.rs
+++ b/crates/limpet-types/src/message/mod.rs
@@ -5,6 +5,7 @@
 mod gather;
 mod gossip;
 mod grant;
+mod load;
 mod order;
 mod peer;
 mod vote;
@@ -37,6 +38,14 @@
     TokenGrant,
     TokenUsage, //
 };
+pub use load::{
+    GatherLoad,
+    LOAD_REPORT_MARKER,
+    LoadReport,
+    NameHash,
+    ServiceUse,
+    TargetUse, //
+};
 pub use order::{
     ForwardOrderReply,
     ForwardOrderRequest,
