Give each query its priority and the end of its goal

The priority of a team goes before that of the route, as the configuration states it; an aggregator looks it up in its own configuration.

--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -220,10 +220,11 @@
         .get(&header_names.api_key)
         .map(|key| key.to_str().unwrap_or_default());
     let bad_key_error = |_| RequestError::not_run(RequestErrorKind::BadKey);
-    let team = route_table
-        .team(&route, api_key)
-        .map_err(bad_key_error)?
-        .map(|team| team.name.clone());
+    let team = route_table.team(&route, api_key).map_err(bad_key_error)?;
+    let priority = team
+        .and_then(|team| team.priority)
+        .unwrap_or(route.priority);
+    let team = team.map(|team| team.name.clone());
     log_fields.team = team.clone().unwrap_or_default();
 
     let request_timeout = caller_timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -294,6 +295,8 @@
     Ok(QueryContext {
         shared: Arc::clone(shared),
         route_table,
+        goal_at: arrived_at + route.latency_goal,
+        priority,
         route,
         request,
         arrived_at,
--- a/crates/limpet-gateway/src/query/aggregation.rs
+++ b/crates/limpet-gateway/src/query/aggregation.rs
@@ -64,12 +64,23 @@
     let aggregator_count = shared
         .aggregators()
         .primary_count_with(shared.settings.peer_addr, &shard_shares);
+    let arrived_at = now.checked_sub(waited).unwrap_or(now);
+    let team = outgoing_request
+        .headers
+        .get(&shared.header_names.team)
+        .and_then(|team| team.to_str().ok());
+    let team = team.and_then(|name| route_table.teams().find(|team| &*team.name == name));
+    let priority = team
+        .and_then(|team| team.priority)
+        .unwrap_or(route.priority);
     let query = QueryContext {
         shared: Arc::clone(shared),
-        route_table,
+        goal_at: arrived_at + route.latency_goal,
+        priority,
+        route_table: Arc::clone(&route_table),
         route: route.clone(),
         request: outgoing_request,
-        arrived_at: now.checked_sub(waited).unwrap_or(now),
+        arrived_at,
         deadline: now + request.time_left.min(route.timeout),
         fingerprint: request.fingerprint,
         known_strikes: shared
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -28,6 +28,10 @@
     pub request: OutgoingRequest,
     /// When the request arrived.
     pub arrived_at: Instant,
+    /// End of the latency goal, counted from the caller's first attempt as far as that is known.
+    pub goal_at: Instant,
+    /// Priority of the request: that of its team, else that of its route; 0 is the highest.
+    pub priority: u32,
     /// When the last attempt must have ended: the end of the timeout of the request, less the time that is
     /// reserved for sending the response.
     pub deadline: Instant,
