Send load reports and apply those of other processes

Cause: nothing sent the load reports, so aggregators, retry budgets and the choice of targets knew own observations only.

Change: each process sends a load report on the ways of the regular reports, at most every 400 ms and in large fleets as rarely as the regular ones. A report is used only if its sender is a known process, states its current identifier and sent it itself or through a known process. Reports are forgotten after 3 s, or 2.5 intervals where those are longer; the end of reports of loaded processes is logged at most every 10 s. The marker has two bytes now: 0xfd alone also begins a regular report whose sender has a large identifier, so receivers took nearly all regular reports for load reports. Requests to a target are counted over 10 s instead of 2 s, because counts over 2 s are gone before processes even them out.

--- a/crates/limpet-decide/src/peer_load/load_tracker.rs
+++ b/crates/limpet-decide/src/peer_load/load_tracker.rs
@@ -19,6 +19,7 @@
     DecayedRate,
     LOAD_REPORT_PERIOD,
     SERVICES_MAX,
+    TARGET_REQUESTS_TIME,
     TARGETS_MAX, //
 };
 
@@ -26,15 +27,29 @@
 const RATE_MIN_PER_10_S: u16 = 1;
 
 /// Requests of this process to one target.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct TargetRates {
     in_flight: u32,
+    /// Requests over [`TARGET_REQUESTS_TIME`].
     sent: DecayedRate,
+    /// Requests over the time of `rejected`.
+    sent_lately: DecayedRate,
     rejected: DecayedRate,
 }
 
+impl Default for TargetRates {
+    fn default() -> Self {
+        Self {
+            in_flight: 0,
+            sent: DecayedRate::over(TARGET_REQUESTS_TIME),
+            sent_lately: DecayedRate::new(),
+            rejected: DecayedRate::new(),
+        }
+    }
+}
+
 /// Load of this process, from which its reports are built.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LoadTracker {
     gathers: GatherLoad,
     requests: HashMap<NameHash, DecayedRate>,
@@ -43,10 +58,27 @@
     reported_rates: HashMap<NameHash, f64>,
     sequence: u32,
     reported_at: Option<Duration>,
+    /// Shortest time between two reports.
+    report_period: Duration,
     /// Whether the latest report said anything; one more is sent after it so that the load ends with the peers too.
     was_loaded: bool,
 }
 
+impl Default for LoadTracker {
+    fn default() -> Self {
+        Self {
+            gathers: GatherLoad::default(),
+            requests: HashMap::new(),
+            targets: HashMap::new(),
+            reported_rates: HashMap::new(),
+            sequence: 0,
+            reported_at: None,
+            report_period: LOAD_REPORT_PERIOD,
+            was_loaded: false,
+        }
+    }
+}
+
 impl LoadTracker {
     /// Creates the tracker of a process without load.
     pub fn new() -> Self {
@@ -63,6 +95,11 @@
         self.gathers
     }
 
+    /// Sets the shortest time between two reports; it is at least [`LOAD_REPORT_PERIOD`].
+    pub fn set_report_period(&mut self, period: Duration) {
+        self.report_period = period.max(LOAD_REPORT_PERIOD);
+    }
+
     /// Records a request for a service.
     pub fn record_request(&mut self, service: NameHash, now: Duration) {
         self.requests.entry(service).or_default().record(1.0, now);
@@ -73,6 +110,7 @@
         let rates = self.targets.entry(target).or_default();
         rates.in_flight += 1;
         rates.sent.record(1.0, now);
+        rates.sent_lately.record(1.0, now);
     }
 
     /// Records that a request to a target ended.
@@ -102,7 +140,7 @@
     ) -> Option<LoadReport> {
         let is_due = self
             .reported_at
-            .is_none_or(|reported_at| now.saturating_sub(reported_at) >= LOAD_REPORT_PERIOD);
+            .is_none_or(|reported_at| now.saturating_sub(reported_at) >= self.report_period);
         if !is_due {
             return None;
         }
@@ -180,7 +218,7 @@
 impl TargetRates {
     /// Returns the share of the recent requests that the target rejected, in 255ths.
     fn rejected_255ths(&self, now: Duration) -> u8 {
-        let sent = self.sent.weight_at(now);
+        let sent = self.sent_lately.weight_at(now);
         let share = match sent > 0.0 {
             true => (self.rejected.weight_at(now) / sent).min(1.0),
             false => 0.0,
--- a/crates/limpet-decide/src/peer_load/mod.rs
+++ b/crates/limpet-decide/src/peer_load/mod.rs
@@ -27,6 +27,9 @@
 
 /// Shortest time between two load reports of a process.
 pub const LOAD_REPORT_PERIOD: Duration = Duration::from_millis(400);
+/// Time over which the requests to a target are counted. It must be much longer than the time between two reports:
+/// counts over two seconds are forgotten before the processes have evened them out.
+pub const TARGET_REQUESTS_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of services in a report.
 pub const SERVICES_MAX: usize = 64;
 /// Maximum number of targets in a report.
--- a/crates/limpet-decide/src/peer_load/peer_loads.rs
+++ b/crates/limpet-decide/src/peer_load/peer_loads.rs
@@ -12,8 +12,12 @@
     NameHash, //
 };
 
-/// Age at which a report is forgotten.
+use super::TARGET_REQUESTS_TIME;
+
+/// Age at which a report is forgotten, unless reports are rarer.
 const FORGET_AFTER: Duration = Duration::from_secs(3);
+/// Number of report intervals after which a report is forgotten at the earliest.
+const FORGET_INTERVALS: f64 = 2.5;
 /// Age at which a report has half of its weight.
 const HALF_LIFE: Duration = Duration::from_secs(1);
 
@@ -40,14 +44,27 @@
     pub in_flight: f64,
     /// Requests per second.
     pub requests_per_s: f64,
+    /// Requests of the last ten seconds, which weigh less the older they are. Unlike the other figures, it doesn't
+    /// fall within a second after a report.
+    pub recent_requests: f64,
     /// Share of the recent requests that the target rejected as full, from 0 to 1.
     pub rejected_share: f64,
 }
 
 /// Latest load report of each other process.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerLoads {
     by_addr: HashMap<SocketAddr, PeerLoad>,
+    forget_after: Duration,
+}
+
+impl Default for PeerLoads {
+    fn default() -> Self {
+        Self {
+            by_addr: HashMap::new(),
+            forget_after: FORGET_AFTER,
+        }
+    }
 }
 
 impl PeerLoads {
@@ -56,6 +73,11 @@
         Self::default()
     }
 
+    /// Sets the time between two reports of a process, which is long in a very large fleet.
+    pub fn set_report_interval(&mut self, interval: Duration) {
+        self.forget_after = FORGET_AFTER.max(interval.mul_f64(FORGET_INTERVALS));
+    }
+
     /// Stores a report; returns false if a later one of the same sender is known.
     pub fn record(&mut self, report: LoadReport, now: Duration) -> bool {
         let is_outdated = self.by_addr.get(&report.addr).is_some_and(|known| {
@@ -72,13 +94,14 @@
         !is_outdated
     }
 
-    /// Forgets the reports that are too old; returns the processes whose reports stopped.
+    /// Forgets the reports that are too old; returns the processes whose reports stopped while they had load.
     pub fn remove_outdated(&mut self, now: Duration) -> Vec<SocketAddr> {
-        let is_outdated = |peer_load: &PeerLoad| peer_load.age(now) >= FORGET_AFTER;
+        let forget_after = self.forget_after;
+        let is_outdated = |peer_load: &PeerLoad| peer_load.age(now) >= forget_after;
         let removed: Vec<SocketAddr> = self
             .by_addr
             .iter()
-            .filter(|(_, peer_load)| is_outdated(peer_load))
+            .filter(|(_, peer_load)| is_outdated(peer_load) && peer_load.is_loaded())
             .map(|(addr, _)| *addr)
             .collect();
         self.by_addr.retain(|_, peer_load| !is_outdated(peer_load));
@@ -104,7 +127,7 @@
     pub fn gather_load(&self, addr: SocketAddr, now: Duration) -> Option<ReportedGatherLoad> {
         let peer_load = self.by_addr.get(&addr)?;
         let age = peer_load.age(now);
-        (age < FORGET_AFTER).then_some(ReportedGatherLoad {
+        (age < self.forget_after).then_some(ReportedGatherLoad {
             load: peer_load.report.gathers,
             age,
         })
@@ -136,11 +159,14 @@
     pub fn target_loads(&self, now: Duration) -> HashMap<NameHash, ReportedTargetLoad> {
         let mut loads: HashMap<NameHash, ReportedTargetLoad> = HashMap::new();
         for peer_load in self.fresh(now) {
+            let count_weight =
+                (-peer_load.age(now).as_secs_f64() / TARGET_REQUESTS_TIME.as_secs_f64()).exp();
             let weight = 0.5_f64.powf(peer_load.age(now).as_secs_f64() / HALF_LIFE.as_secs_f64());
             for entry in &peer_load.report.targets {
                 let load = loads.entry(entry.target).or_default();
                 load.in_flight += weight * f64::from(entry.in_flight);
                 load.requests_per_s += weight * f64::from(entry.requests_per_10_s) / 10.0;
+                load.recent_requests += count_weight * f64::from(entry.requests_per_10_s);
                 let rejected_share = weight * f64::from(entry.rejected_255ths) / f64::from(u8::MAX);
                 load.rejected_share = load.rejected_share.max(rejected_share);
             }
@@ -152,7 +178,7 @@
     fn fresh(&self, now: Duration) -> impl Iterator<Item = &PeerLoad> {
         self.by_addr
             .values()
-            .filter(move |peer_load| peer_load.age(now) < FORGET_AFTER)
+            .filter(move |peer_load| peer_load.age(now) < self.forget_after)
     }
 }
 
@@ -161,4 +187,13 @@
     const fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.received_at)
     }
+
+    /// Returns whether the process had any load when it reported. One without load sends no more reports.
+    fn is_loaded(&self) -> bool {
+        let report = &self.report;
+        report.gathers.running > 0
+            || report.gathers.waiting > 0
+            || !report.services.is_empty()
+            || !report.targets.is_empty()
+    }
 }
--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
             AtomicU64,
             Ordering, //
@@ -13,7 +13,10 @@
 };
 
 use limpet_decide::spread::ReportRoute;
-use limpet_types::codec;
+use limpet_types::{
+    codec,
+    message::LOAD_REPORT_MARKER, //
+};
 use rand::{
     Rng,
     seq::SliceRandom, //
@@ -31,7 +34,8 @@
     NodeId,
     REPORT_PERIOD,
     Report,
-    Welcome, //
+    Welcome,
+    load_reports::StoppedReports, //
 };
 use crate::{
     rate::AdmissionCounts,
@@ -76,13 +80,14 @@
 /// Task that sends reports to the other processes and applies the reports that it receives.
 #[derive(Debug)]
 pub struct Gossip {
-    shared: Arc<SharedState>,
+    pub(super) shared: Arc<SharedState>,
     socket: UdpSocket,
-    node: NodeId,
+    pub(super) node: NodeId,
     /// Number of rounds sent since the start.
     round_count: AtomicU64,
     /// Ways of the reports of the current turn.
     turn_routes: Mutex<TurnRoutes>,
+    stopped_reports: Mutex<StoppedReports>,
 }
 
 /// Ways on which the reports of one turn, in which every process gets a report once, reach the others.
@@ -110,9 +115,17 @@
             node: rand::random(),
             round_count: AtomicU64::new(0),
             turn_routes: Mutex::default(),
+            stopped_reports: Mutex::default(),
         })
     }
 
+    /// Locks the processes whose load reports stopped.
+    pub(super) fn stopped_reports(&self) -> MutexGuard<'_, StoppedReports> {
+        self.stopped_reports
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Exchanges reports until the future is dropped.
     pub async fn run(self: Arc<Self>) {
         let mut ticks = interval(REPORT_PERIOD);
@@ -122,7 +135,9 @@
             tokio::select! {
                 _ = ticks.tick() => {
                     self.remove_gone_processes();
+                    self.forget_outdated_loads();
                     self.send_round(false).await;
+                    self.send_load_report().await;
                 }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((size, from)) => self.handle_received(&buffer[..size], from).await,
@@ -174,8 +189,7 @@
         let now = shared.now();
         let round = self.round_count.fetch_add(1, Ordering::Relaxed);
         let report_interval = shared.membership().report_interval();
-        let rounds_per_turn =
-            (report_interval.as_millis() / REPORT_PERIOD.as_millis()).max(1) as u64;
+        let rounds_per_turn = rounds_per_turn(report_interval);
         let mut routes = self.routes(round / rounds_per_turn);
         let mut other_routes = Vec::new();
         let has_relays = routes.iter().any(|route| route.is_relayed);
@@ -218,6 +232,13 @@
         }
     }
 
+    /// Returns the ways of the reports of the current turn.
+    pub(super) fn current_routes(&self) -> Vec<ReportRoute> {
+        let round = self.round_count.load(Ordering::Relaxed).saturating_sub(1);
+        let report_interval = self.shared.membership().report_interval();
+        self.routes(round / rounds_per_turn(report_interval))
+    }
+
     /// Returns the ways of the reports of a turn; computes them anew for each turn, and when a process came or
     /// went.
     fn routes(&self, turn_index: u64) -> Vec<ReportRoute> {
@@ -302,7 +323,7 @@
     }
 
     /// Sends a datagram on all of these ways, with a marker for those who pass it on.
-    async fn send_on_routes(&self, bytes: &[u8], routes: &[ReportRoute]) {
+    pub(super) async fn send_on_routes(&self, bytes: &[u8], routes: &[ReportRoute]) {
         let addrs_where = |is_relayed: bool| -> Vec<SocketAddr> {
             let routes = routes.iter().filter(|route| route.is_relayed == is_relayed);
             routes.map(|route| route.to).collect()
@@ -344,6 +365,10 @@
 
     /// Decodes and applies a report; returns the address of the sender if it was unknown before.
     fn handle_datagram(&self, bytes: &[u8], from: SocketAddr) -> Option<SocketAddr> {
+        if bytes.starts_with(&LOAD_REPORT_MARKER) {
+            self.handle_load_report(bytes, from);
+            return None;
+        }
         if Announcement::is_announcement(bytes) {
             self.handle_announcement(bytes, from);
             return None;
@@ -360,6 +385,7 @@
         if report.is_leaving {
             let removed = shared.membership().remove_process(report.addr);
             shared.aggregators().remove(report.addr);
+            shared.peer_loads().remove(report.addr);
             if let Some(node) = removed {
                 tracing::info!(addr = %report.addr, node, "process left");
                 shared.rate_limiter().apply_admissions(
@@ -443,3 +469,8 @@
             .set_process_counts(process_counts, now);
     }
 }
+
+/// Returns the number of rounds in which every process gets a regular report once.
+fn rounds_per_turn(report_interval: Duration) -> u64 {
+    (report_interval.as_millis() / REPORT_PERIOD.as_millis()).max(1) as u64
+}
--- a/crates/limpet-gateway/src/members/membership.rs
+++ b/crates/limpet-gateway/src/members/membership.rs
@@ -245,6 +245,11 @@
         self.version
     }
 
+    /// Returns the identifier of the process that reported last from an address.
+    pub fn node_at(&self, addr: SocketAddr) -> Option<NodeId> {
+        self.members.get(&addr).map(|member| member.node)
+    }
+
     /// Returns the addresses of all other processes that count, the silent ones included.
     pub fn known_addrs(&self) -> impl Iterator<Item = SocketAddr> {
         self.members.keys().copied()
--- a/crates/limpet-gateway/src/members/mod.rs
+++ b/crates/limpet-gateway/src/members/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcement;
 mod gossip;
+mod load_reports;
 mod membership;
 mod message;
 
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -60,7 +60,7 @@
     connections_limit: usize,
 ) -> Result<TargetReply, AttemptError> {
     let shared = &query.shared;
-    let _in_flight = InFlightGuard::new(target);
+    let in_flight = InFlightGuard::new(shared, target);
     let mut timer = AttemptTimer::new(query, target);
     let result = exchange(query, target, connections_limit).await;
     let (latency, now) = timer.stop();
@@ -84,6 +84,10 @@
                 AttemptErrorKind::Unreachable | AttemptErrorKind::Timeout => {
                     target.health().record_no_reply(now);
                 }
+                AttemptErrorKind::NotRun => {
+                    in_flight.record_rejection(now);
+                    target.health().record_failure(now);
+                }
                 _ => target.health().record_failure(now),
             }
             if error.kind == AttemptErrorKind::NoValidReply {
--- a/crates/limpet-gateway/src/target/one_target.rs
+++ b/crates/limpet-gateway/src/target/one_target.rs
@@ -13,11 +13,17 @@
     time::Duration,
 };
 
-use limpet_decide::target_notice::TargetNotices;
-use limpet_types::deployment::{
-    TargetId,
-    TargetRecord,
-    TargetState, //
+use limpet_decide::{
+    peer_load::name_hash,
+    target_notice::TargetNotices, //
+};
+use limpet_types::{
+    deployment::{
+        TargetId,
+        TargetRecord,
+        TargetState, //
+    },
+    message::NameHash,
 };
 
 use super::{
@@ -25,12 +31,15 @@
     ConnectionPool,
     TargetHealth, //
 };
+use crate::shared_state::SharedState;
 
 /// One incarnation of a target, with its health and connections as seen by this process.
 #[derive(Debug)]
 pub struct Target {
     /// Id of the target.
     pub id: TargetId,
+    /// Hash of the id, by which load reports name the target.
+    pub id_hash: NameHash,
     /// Service that the target belongs to.
     pub service: Box<str>,
     /// Address that the target listens on.
@@ -68,6 +77,7 @@
         let mut cold_rate_limiter = ColdRateLimiter::new();
         cold_rate_limiter.set_cold(record.warmup_left, now);
         Self {
+            id_hash: name_hash(&id),
             id,
             service: record.service.clone(),
             addr: record.addr,
@@ -172,20 +182,36 @@
     }
 }
 
-/// Guard that counts one request in flight to a target until it is dropped.
+/// Guard that counts one request in flight to a target until it is dropped, for the choice of targets and for the
+/// load reports.
 #[derive(Debug)]
-pub struct InFlightGuard(Arc<Target>);
+pub struct InFlightGuard<'a> {
+    shared: &'a SharedState,
+    target: Arc<Target>,
+}
 
-impl InFlightGuard {
+impl<'a> InFlightGuard<'a> {
     /// Counts a request to `target` as in flight.
-    pub fn new(target: &Arc<Target>) -> Self {
+    pub fn new(shared: &'a SharedState, target: &Arc<Target>) -> Self {
         target.in_flight_count.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(target))
+        let now = shared.now();
+        shared.load_tracker().record_send(target.id_hash, now);
+        Self {
+            shared,
+            target: Arc::clone(target),
+        }
+    }
+
+    /// Records that the target rejected the request as full.
+    pub fn record_rejection(&self, now: Duration) {
+        let mut load_tracker = self.shared.load_tracker();
+        load_tracker.record_rejection(self.target.id_hash, now);
     }
 }
 
-impl Drop for InFlightGuard {
+impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
-        self.0.in_flight_count.fetch_sub(1, Ordering::Relaxed);
+        self.target.in_flight_count.fetch_sub(1, Ordering::Relaxed);
+        self.shared.load_tracker().record_end(self.target.id_hash);
     }
 }
--- a/crates/limpet-types/src/message/load.rs
+++ b/crates/limpet-types/src/message/load.rs
@@ -7,9 +7,12 @@
     Serialize, //
 };
 
-/// First byte of the datagram of a load report. No other datagram begins with it, so a process of an earlier
-/// release ignores load reports.
-pub const LOAD_REPORT_MARKER: u8 = 0xfd;
+/// First bytes of the datagram of a load report.
+///
+/// An encoded report begins with a `u64`, whose first byte may be anything up to 0xfd, so one byte would not tell the
+/// two apart. A process of an earlier release takes the datagram for an announcement, which it can't decode, because
+/// no address begins with 0xfd.
+pub const LOAD_REPORT_MARKER: [u8; 2] = [0xff, 0xfd];
 
 /// Hash of the name of a service or of the id of a target.
 pub type NameHash = u32;
