Choose aggregators by load from an extended set

Cause: in an overload of 4 times, three primary aggregators of half a core refused queries (8 per core) while they used a twentieth of a core, and the refused queries ran with one connection per target. Late answers ejected one aggregator after the other, and any failure paused all of them for 1.5 s.

Change: the processes with the most capacity, 0.3 of it together, form an extended set, and each member may hold its share of the connections. The number of candidates of a zone follows the reported load; part of the queries leaves a zone while it would miss the goal. A refusal as busy excludes that aggregator for 200 ms and any member of the set may be asked next. Late answers eject only an aggregator that is late while others answer in time. The pause after a lost query spares the aggregators that answered within the second before.

--- a/crates/limpet-decide/src/aggregator/directory.rs
+++ b/crates/limpet-decide/src/aggregator/directory.rs
@@ -11,6 +11,9 @@
 /// Fraction of the processor capacity of all processes that the primary aggregators of all zones have
 /// together. Fewer would be overloaded; with more of them their connections would be less warm.
 const PRIMARY_CAPACITY_FRACTION: f64 = 0.1;
+/// Fraction of the processor capacity of all processes that the extended set has, the primary aggregators and those
+/// that help them under load.
+const EXTENDED_CAPACITY_FRACTION: f64 = 0.3;
 /// A zone is used if its share of shards is at least this fraction of the best one.
 const ZONE_SHARE_MIN: f64 = 0.8;
 
@@ -23,31 +26,19 @@
     pub capacity_cores: f64,
 }
 
-/// What the choice of an aggregator for one query depends on.
-pub struct AggregatorChoice<'a> {
-    /// Address of this process.
-    pub own_addr: SocketAddr,
-    /// Zone of this process.
-    pub own_zone: &'a str,
-    /// Share of the shards that have a usable target in each zone.
-    pub shard_shares: &'a [(Box<str>, f64)],
-    /// Returns whether a process is live and not ejected.
-    pub is_usable: &'a dyn Fn(SocketAddr) -> bool,
-    /// Aggregators that refused this query.
-    pub refused_by: &'a [SocketAddr],
-    /// Random number in 0..1 that chooses the zone.
-    pub zone_draw: f64,
-    /// Random number in 0..1 that chooses the process.
-    pub draw: f64,
-}
-
-/// The processes that may aggregate. In each zone they are ranked by capacity, the highest first, and the
-/// first of them, the primary ones, get the queries.
+/// The processes that may aggregate. In each zone they are ranked by capacity, the highest first. The first of them
+/// in the zones with targets, the primary ones, get the queries at low load. Under load, those with the most capacity
+/// in all zones help them; both together are the extended set.
 #[derive(Clone, Debug, Default)]
 pub struct AggregatorDirectory {
     nodes: BTreeMap<SocketAddr, AggregatorNode>,
     /// Addresses of each zone in the order of their rank, unless `is_ranked` is false.
     ranked: BTreeMap<Box<str>, Vec<SocketAddr>>,
+    /// Number of processes of each zone that are among those with the most capacity in all zones, unless
+    /// `is_ranked` is false.
+    helper_counts: BTreeMap<Box<str>, usize>,
+    /// Capacity of all processes, in cores, unless `is_ranked` is false.
+    total_cores: f64,
     /// Whether the order takes all changes into account. A start of the whole fleet brings many at once.
     is_ranked: bool,
 }
@@ -90,76 +81,59 @@
         }
     }
 
-    /// Chooses an aggregator: a random primary one of the zone that has most of the shards, preferably of this
-    /// process's own zone. After a refusal, twice as many processes of that zone come into question.
-    ///
-    /// Returns `None` if there is no usable one, or if it is this process itself.
-    pub fn choose(&mut self, choice: &AggregatorChoice<'_>) -> Option<SocketAddr> {
-        self.rank();
-        let zone = self.choose_zone(choice)?;
-        let ranked = self.ranked.get(zone)?;
-        let serving_zone_count = serving_zones(choice.shard_shares).count();
-        let primary_count = self.primary_count(zone, serving_zone_count);
-        let considered_count = primary_count << choice.refused_by.len().min(8);
-        let usable: Vec<SocketAddr> = ranked
-            .iter()
-            .copied()
-            .filter(|addr| *addr == choice.own_addr || (choice.is_usable)(*addr))
-            .filter(|addr| !choice.refused_by.contains(addr))
-            .take(considered_count)
-            .collect();
-        let index = (choice.draw * usable.len() as f64) as usize;
-        let chosen = usable.get(index.min(usable.len().saturating_sub(1)))?;
-        // A primary aggregator runs its own queries itself.
-        let is_own_primary = usable.contains(&choice.own_addr) && choice.refused_by.is_empty();
-        (*chosen != choice.own_addr && !is_own_primary).then_some(*chosen)
-    }
-
-    /// Returns the number of primary aggregators in all zones if this process is one of them, else `None`.
-    pub fn primary_count_with(
+    /// Removes the processes for which `keep` returns false.
+    pub fn retain(&mut self, keep: impl Fn(SocketAddr) -> bool) {
+        let count_before = self.nodes.len();
+        self.nodes.retain(|addr, _| keep(*addr));
+        self.is_ranked &= self.nodes.len() == count_before;
+    }
+
+    /// Returns the size of the extended set if this process belongs to it, else `None`.
+    pub fn extended_count_with(
         &mut self,
         own_addr: SocketAddr,
         shard_shares: &[(Box<str>, f64)],
     ) -> Option<usize> {
         self.rank();
         let own_zone = &self.nodes.get(&own_addr)?.zone;
-        let serving_zone_count = serving_zones(shard_shares).count();
-        let primary_count = self.primary_count(own_zone, serving_zone_count);
-        let mut own_zone_primaries = self.ranked.get(own_zone)?.iter().take(primary_count);
-        let is_serving = serving_zones(shard_shares).any(|zone| zone == &**own_zone);
-        if !is_serving || !own_zone_primaries.any(|addr| *addr == own_addr) {
+        let own_zone_count = self.extended_count(own_zone, shard_shares);
+        let mut own_zone_members = self.ranked.get(own_zone)?.iter().take(own_zone_count);
+        if !own_zone_members.any(|addr| *addr == own_addr) {
             return None;
         }
-        let counts =
-            serving_zones(shard_shares).map(|zone| self.primary_count(zone, serving_zone_count));
-        Some(counts.sum())
-    }
-
-    /// Chooses the zone of the aggregator: this process's own if it serves, else a random serving one.
-    fn choose_zone<'a>(&self, choice: &AggregatorChoice<'a>) -> Option<&'a str> {
-        let has_usable = |zone: &&str| {
-            let ranked = self.ranked.get(*zone);
-            ranked.is_some_and(|ranked| {
-                ranked
-                    .iter()
-                    .any(|addr| *addr == choice.own_addr || (choice.is_usable)(*addr))
-            })
-        };
-        let zones: Vec<&str> = serving_zones(choice.shard_shares)
-            .filter(has_usable)
-            .collect();
-        if let Some(own_zone) = zones.iter().find(|zone| **zone == choice.own_zone) {
-            return Some(own_zone);
+        let counts = self.ranked.keys();
+        Some(
+            counts
+                .map(|zone| self.extended_count(zone, shard_shares))
+                .sum(),
+        )
+    }
+
+    /// Returns the zones of all processes.
+    pub(super) fn zones(&self) -> impl Iterator<Item = &str> {
+        self.ranked.keys().map(|zone| &**zone)
+    }
+
+    /// Returns the processes of a zone in the order of their rank; [`AggregatorDirectory::rank`] must precede.
+    pub(super) fn ranked(&self, zone: &str) -> &[SocketAddr] {
+        self.ranked.get(zone).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the number of members of the extended set in a zone, the first ones of its ranking.
+    pub(super) fn extended_count(&self, zone: &str, shard_shares: &[(Box<str>, f64)]) -> usize {
+        let helper_count = self.helper_counts.get(zone).copied().unwrap_or_default();
+        let is_serving = serving_zones(shard_shares).any(|serving| serving == zone);
+        match is_serving {
+            true => helper_count.max(self.primary_count(zone, shard_shares)),
+            false => helper_count,
         }
-        let index = (choice.zone_draw * zones.len() as f64) as usize;
-        zones.get(index.min(zones.len().saturating_sub(1))).copied()
     }
 
     /// Returns the number of primary aggregators of a zone: as many, in the order of their rank, as have its
     /// part of the capacity that all primary ones need.
-    fn primary_count(&self, zone: &str, serving_zone_count: usize) -> usize {
-        let total: f64 = self.nodes.values().map(AggregatorNode::usable_cores).sum();
-        let needed = total * PRIMARY_CAPACITY_FRACTION / serving_zone_count.max(1) as f64;
+    pub(super) fn primary_count(&self, zone: &str, shard_shares: &[(Box<str>, f64)]) -> usize {
+        let serving_zone_count = serving_zones(shard_shares).count().max(1);
+        let needed = self.total_cores * PRIMARY_CAPACITY_FRACTION / serving_zone_count as f64;
         let mut capacity = 0.0;
         let mut count = 0;
         for addr in self.ranked.get(zone).into_iter().flatten() {
@@ -176,22 +150,44 @@
     }
 
     /// Ranks the processes of each zone by capacity, and by a hash of their address where it is equal.
-    fn rank(&mut self) {
+    pub(super) fn rank(&mut self) {
         if self.is_ranked {
             return;
         }
         self.is_ranked = true;
+        let cores = self.nodes.values().map(AggregatorNode::usable_cores);
+        self.total_cores = cores.sum();
         self.ranked.clear();
         for (addr, node) in &self.nodes {
             let ranked = self.ranked.entry(node.zone.clone()).or_default();
             ranked.push(*addr);
         }
         let nodes = &self.nodes;
+        let rank_of = |addr: &SocketAddr| {
+            let hash = stable_hash_parts(&[addr.to_string().as_bytes()]);
+            (Reverse(nodes[addr].capacity_millicores()), hash)
+        };
         for ranked in self.ranked.values_mut() {
-            ranked.sort_by_cached_key(|addr| {
-                let hash = stable_hash_parts(&[addr.to_string().as_bytes()]);
-                (Reverse(nodes[addr].capacity_millicores()), hash)
-            });
+            ranked.sort_by_cached_key(rank_of);
+        }
+        let mut all: Vec<SocketAddr> = nodes.keys().copied().collect();
+        all.sort_by_cached_key(rank_of);
+        self.count_helpers(&all);
+    }
+
+    /// Counts the processes with the most capacity in each zone: as many of `all`, ranked in the same way, as come
+    /// closest to the capacity of the extended set.
+    fn count_helpers(&mut self, all: &[SocketAddr]) {
+        let needed = self.total_cores * EXTENDED_CAPACITY_FRACTION;
+        let mut capacity = 0.0;
+        self.helper_counts.clear();
+        for node in all.iter().filter_map(|addr| self.nodes.get(addr)) {
+            let cores = node.usable_cores();
+            if cores <= 0.0 || capacity + cores / 2.0 > needed {
+                break;
+            }
+            capacity += cores;
+            *self.helper_counts.entry(node.zone.clone()).or_default() += 1;
         }
     }
 }
@@ -203,7 +199,7 @@
     }
 
     /// Returns the capacity, or 0 if it is no positive number.
-    fn usable_cores(&self) -> f64 {
+    pub(super) fn usable_cores(&self) -> f64 {
         match self.capacity_cores.is_finite() && self.capacity_cores > 0.0 {
             true => self.capacity_cores,
             false => 0.0,
@@ -212,7 +208,7 @@
 }
 
 /// Returns the zones that have about as many of the shards as the best one.
-fn serving_zones(shard_shares: &[(Box<str>, f64)]) -> impl Iterator<Item = &str> {
+pub(super) fn serving_zones(shard_shares: &[(Box<str>, f64)]) -> impl Iterator<Item = &str> {
     let best = shard_shares
         .iter()
         .map(|(_, share)| *share)
--- a/crates/limpet-decide/src/aggregator/peer_ejection.rs
+++ b/crates/limpet-decide/src/aggregator/peer_ejection.rs
@@ -11,8 +11,18 @@
 /// Longest duration of an ejection.
 const EJECTION_TIME_MAX: Duration = Duration::from_secs(8);
 
-/// Time after a failure in which no aggregator is used.
+/// Time after a lost query in which only aggregators are used that have answered shortly before or since.
 const PAUSE_TIME: Duration = Duration::from_millis(1500);
+/// Time before a lost query in which an answer shows that an aggregator is alive.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Time constant of the answers by which the aggregators are compared.
+const COMPARISON_TIME: Duration = Duration::from_secs(2);
+/// Smallest decayed number of answers of the other aggregators with which one is compared.
+const OTHER_ANSWERS_MIN: f64 = 0.5;
+/// Part of the answers of the other aggregators up to which late ones do not count as an overload.
+const OTHER_LATE_PART_MAX: f64 = 0.25;
+/// Part of its own answers from which on an aggregator counts as late.
+const LATE_PART_MIN: f64 = 0.5;
 
 /// Failures of one aggregator since its last success.
 #[derive(Clone, Copy, Debug)]
@@ -21,15 +31,42 @@
     ejected_until: Duration,
 }
 
+/// Recent answers of one aggregator, which weigh less the older they are.
+#[derive(Clone, Copy, Debug, Default)]
+struct Answers {
+    in_time: f64,
+    late: f64,
+    latest_at: Duration,
+}
+
+impl Answers {
+    /// Returns the factor by which the answers weigh less than at the latest one.
+    fn decay(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.latest_at);
+        (-age.as_secs_f64() / COMPARISON_TIME.as_secs_f64()).exp()
+    }
+
+    /// Records an answer.
+    fn record(&mut self, is_late: bool, now: Duration) {
+        let decay = self.decay(now);
+        self.in_time = self.in_time * decay + f64::from(u8::from(!is_late));
+        self.late = self.late * decay + f64::from(u8::from(is_late));
+        self.latest_at = now;
+    }
+}
+
 /// Aggregators that this process does not use for a while because they failed.
 ///
-/// Many may fail at once, and each failure costs a repeat of the query. So after a failure no aggregator is used for
-/// a short time.
+/// Many may fail at once, and each lost query costs its caller an error. So after one, only aggregators that have
+/// answered within the last second are used for a short time; without any, queries run in this process, on
+/// connections that are cold. A failure before the aggregator got the query costs less than those and ejects only
+/// this aggregator.
 #[derive(Clone, Debug, Default)]
 pub struct PeerEjection {
     failures: HashMap<SocketAddr, Failures>,
-    /// Time until which no aggregator is used.
-    paused_until: Duration,
+    answers: HashMap<SocketAddr, Answers>,
+    /// Time of the latest failure that lost a query.
+    lost_at: Option<Duration>,
 }
 
 impl PeerEjection {
@@ -38,28 +75,41 @@
         Self::default()
     }
 
-    /// Records that an aggregator answered.
-    pub fn record_success(&mut self, aggregator: SocketAddr) {
+    /// Records that an aggregator answered in time.
+    pub fn record_success(&mut self, aggregator: SocketAddr, now: Duration) {
         self.failures.remove(&aggregator);
+        self.record_answer(aggregator, false, now);
     }
 
-    /// Ejects an aggregator that did not accept a query or lost it.
-    pub fn record_failure(&mut self, aggregator: SocketAddr, now: Duration) {
-        let failures = self.failures.entry(aggregator).or_insert(Failures {
-            count: 0,
-            ejected_until: Duration::ZERO,
-        });
-        let ejection_time = EJECTION_TIME_MIN * (1 << failures.count.min(4));
-        failures.count += 1;
-        failures.ejected_until = now + ejection_time.min(EJECTION_TIME_MAX);
-        self.paused_until = now + PAUSE_TIME;
+    /// Ejects an aggregator that failed; `is_lost` tells whether it has got the query.
+    pub fn record_failure(&mut self, aggregator: SocketAddr, is_lost: bool, now: Duration) {
+        self.eject(aggregator, now);
+        self.answers.remove(&aggregator);
+        if is_lost {
+            self.lost_at = Some(now);
+        }
     }
 
-    /// Ejects an aggregator that answered after the latency goal of the query; others may still be used.
+    /// Records that an aggregator answered after the latency goal of the query, and ejects it if most of its answers
+    /// are late while the others answer in time. If theirs are late as well, it is the load, and without this
+    /// aggregator the others would be later still.
     pub fn record_late(&mut self, aggregator: SocketAddr, now: Duration) {
-        let paused_until = self.paused_until;
-        self.record_failure(aggregator, now);
-        self.paused_until = paused_until;
+        self.record_answer(aggregator, true, now);
+        let (mut in_time, mut late) = (0.0, 0.0);
+        for (addr, answers) in &self.answers {
+            let decay = answers.decay(now);
+            if *addr != aggregator {
+                in_time += answers.in_time * decay;
+                late += answers.late * decay;
+            }
+        }
+        let own = self.answers.get(&aggregator).copied().unwrap_or_default();
+        let is_mostly_late = own.late >= (own.late + own.in_time) * LATE_PART_MIN;
+        let has_others = in_time + late >= OTHER_ANSWERS_MIN;
+        let are_others_in_time = late <= (in_time + late) * OTHER_LATE_PART_MAX;
+        if is_mostly_late && has_others && are_others_in_time {
+            self.eject(aggregator, now);
+        }
     }
 
     /// Ejects an aggregator that is about to stop for the longest time.
@@ -69,11 +119,43 @@
             ejected_until: now + EJECTION_TIME_MAX,
         };
         self.failures.insert(aggregator, failures);
+        self.answers.remove(&aggregator);
     }
 
     /// Returns whether an aggregator is ejected.
     pub fn is_ejected(&self, aggregator: SocketAddr, now: Duration) -> bool {
         let failures = self.failures.get(&aggregator);
-        now < self.paused_until || failures.is_some_and(|failures| now < failures.ejected_until)
+        self.is_paused(aggregator, now)
+            || failures.is_some_and(|failures| now < failures.ejected_until)
+    }
+
+    /// Returns whether an aggregator is not used because another one lost a query.
+    fn is_paused(&self, aggregator: SocketAddr, now: Duration) -> bool {
+        let Some(lost_at) = self.lost_at else {
+            return false;
+        };
+        let answers = self.answers.get(&aggregator);
+        let is_alive = answers.is_some_and(|answers| answers.latest_at + ANSWER_TIME >= lost_at);
+        now < lost_at + PAUSE_TIME && !is_alive
+    }
+
+    /// Ejects an aggregator, for longer with each further failure.
+    fn eject(&mut self, aggregator: SocketAddr, now: Duration) {
+        let failures = self.failures.entry(aggregator).or_insert(Failures {
+            count: 0,
+            ejected_until: Duration::ZERO,
+        });
+        let ejection_time = EJECTION_TIME_MIN * (1 << failures.count.min(4));
+        failures.count += 1;
+        failures.ejected_until = now + ejection_time.min(EJECTION_TIME_MAX);
+    }
+
+    /// Records an answer, and forgets those that no longer count.
+    fn record_answer(&mut self, aggregator: SocketAddr, is_late: bool, now: Duration) {
+        let forget_after = COMPARISON_TIME * 4;
+        self.answers
+            .retain(|_, answers| now < answers.latest_at + forget_after);
+        let answers = self.answers.entry(aggregator).or_default();
+        answers.record(is_late, now);
     }
 }
--- a/crates/limpet-gateway/src/aggregation_slots.rs
+++ b/crates/limpet-gateway/src/aggregation_slots.rs
@@ -2,9 +2,11 @@
 
 use tokio::sync::watch;
 
-/// Number of queries that a process runs for others at the same time, per core of its processor. One query is
-/// a burst of requests to all shards.
-const AGGREGATIONS_PER_CORE: f64 = 8.0;
+/// Number of queries that a process runs for others at the same time, per core of its processor. With 8 per core,
+/// processes refused queries while they used a twentieth of a core.
+const AGGREGATIONS_PER_CORE: f64 = 64.0;
+/// Smallest number of queries that a process runs for others at the same time.
+const AGGREGATIONS_MIN: usize = 8;
 
 /// Counts the queries that a process runs for others, and limits their number.
 #[derive(Debug)]
@@ -28,7 +30,7 @@
     pub fn new(capacity_cores: f64) -> Self {
         let limit = (capacity_cores * AGGREGATIONS_PER_CORE) as usize;
         Self {
-            limit: limit.max(1),
+            limit: limit.max(AGGREGATIONS_MIN),
             count_sender: watch::Sender::new(0),
         }
     }
--- a/crates/limpet-gateway/src/query/aggregation.rs
+++ b/crates/limpet-gateway/src/query/aggregation.rs
@@ -63,7 +63,7 @@
     let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
     let aggregator_count = shared
         .aggregators()
-        .primary_count_with(shared.settings.peer_addr, &shard_shares);
+        .extended_count_with(shared.settings.peer_addr, &shard_shares);
     let arrived_at = now.checked_sub(waited).unwrap_or(now);
     let team = outgoing_request
         .headers
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -7,7 +7,14 @@
 };
 
 use http::HeaderValue;
-use limpet_decide::aggregator::AggregatorChoice;
+use limpet_decide::{
+    aggregator::{
+        AggregatorChoice,
+        AggregatorLoad,
+        Place, //
+    },
+    peer_load::ReportedGatherLoad,
+};
 use limpet_peer::{
     PeerError,
     PeerErrorKind, //
@@ -33,7 +40,10 @@
     RequestErrorKind,
     run_scatter_gather, //
 };
-use crate::target::connections_share;
+use crate::{
+    shared_state::SharedState,
+    target::connections_share, //
+};
 
 /// Number of aggregators that are asked before the query runs in this process.
 const AGGREGATORS_MAX: usize = 2;
@@ -69,7 +79,7 @@
     let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
     let mut refused_by = Vec::new();
     while refused_by.len() < AGGREGATORS_MAX {
-        let Some(aggregator) = choose_aggregator(&query, &shard_shares, &refused_by) else {
+        let Place::At(aggregator) = choose_place(&query, &shard_shares, &refused_by) else {
             break;
         };
         match aggregate_at(&query, aggregator).await {
@@ -103,7 +113,7 @@
     let own_addr = shared.settings.peer_addr;
     let aggregator_count = shared
         .aggregators()
-        .primary_count_with(own_addr, shard_shares);
+        .extended_count_with(own_addr, shard_shares);
     let query = QueryContext {
         aggregator_count,
         ..query.copy()
@@ -111,29 +121,77 @@
     run_scatter_gather(Arc::new(query), gather).await
 }
 
-/// Chooses the aggregator for a query; returns `None` if it should run in this process.
-fn choose_aggregator(
+/// Chooses where a query runs.
+fn choose_place(
     query: &QueryContext,
     shard_shares: &[(Box<str>, f64)],
     refused_by: &[SocketAddr],
-) -> Option<SocketAddr> {
+) -> Place {
     let shared = &query.shared;
+    let own_addr = shared.settings.peer_addr;
     let now = shared.now();
     let live_addrs = shared.membership().live_addrs(now);
+    shared.remove_gone_aggregators();
+    let own_gathers = shared.load_tracker().gathers();
     let peer_ejection = shared.peer_ejection();
+    let peer_loads = shared.peer_loads();
+    let aggregator_use = shared.aggregator_use();
     let is_usable = |addr: SocketAddr| {
         live_addrs.binary_search(&addr).is_ok() && !peer_ejection.is_ejected(addr, now)
     };
-    let mut rng = rand::rng();
-    shared.aggregators().choose(&AggregatorChoice {
-        own_addr: shared.settings.peer_addr,
+    let load_of = |addr: SocketAddr, capacity_cores: f64| {
+        let reported = match addr == own_addr {
+            true => Some(ReportedGatherLoad {
+                load: own_gathers,
+                age: Duration::ZERO,
+            }),
+            false => peer_loads.gather_load(addr, now),
+        };
+        let reported_at = reported.map(|reported| now.saturating_sub(reported.age));
+        let own = aggregator_use.observation(addr, reported_at, now);
+        AggregatorLoad::estimate(reported, own, capacity_cores)
+    };
+    let choice = AggregatorChoice {
+        own_addr,
         own_zone: &shared.settings.zone,
         shard_shares,
+        goal: query.route.latency_goal,
         is_usable: &is_usable,
+        is_busy: &|addr| aggregator_use.is_busy(addr, now),
+        load_of: &load_of,
         refused_by,
-        zone_draw: rng.random_range(0.0..1.0),
-        draw: rng.random_range(0.0..1.0),
-    })
+        now,
+    };
+    let mut rng = rand::rng();
+    shared.choose_aggregator(&choice, &mut || rng.random_range(0.0..1.0))
+}
+
+/// Counts a query at an aggregator until it is dropped.
+struct SentQuery<'a> {
+    shared: &'a SharedState,
+    aggregator: SocketAddr,
+    sent_at: Duration,
+}
+
+impl<'a> SentQuery<'a> {
+    /// Counts a query that is sent now.
+    fn begin(shared: &'a SharedState, aggregator: SocketAddr) -> Self {
+        let sent_at = shared.now();
+        shared.aggregator_use().record_send(aggregator, sent_at);
+        Self {
+            shared,
+            aggregator,
+            sent_at,
+        }
+    }
+}
+
+impl Drop for SentQuery<'_> {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let mut aggregator_use = self.shared.aggregator_use();
+        aggregator_use.record_end(self.aggregator, self.sent_at, now);
+    }
 }
 
 /// Sends a query to an aggregator and waits for its answer.
@@ -145,6 +203,7 @@
         .min(ACCEPT_TIMEOUT_MAX);
     let started_at = Instant::now();
     let request = PeerRequest::Gather(Box::new(build_request(query)));
+    let _sent_query = SentQuery::begin(shared, aggregator);
     let call = shared.peer_client.call_with_accept_timeout(
         aggregator,
         &request,
@@ -166,7 +225,10 @@
         }
         Err(error) => {
             let now = shared.now();
-            shared.peer_ejection().record_failure(aggregator, now);
+            let is_lost = !error.is_not_sent();
+            shared
+                .peer_ejection()
+                .record_failure(aggregator, is_lost, now);
             tracing::info!(
                 request_id = query.request_id(), %aggregator, %error,
                 took_us = started_at.elapsed().as_micros(), "aggregator failed"
@@ -208,9 +270,13 @@
     let shared = &query.shared;
     match reply {
         GatherReply::Refused(refusal) => {
-            if refusal == GatherRefusal::Stopping {
-                let now = shared.now();
-                shared.peer_ejection().record_stopping(aggregator, now);
+            let now = shared.now();
+            match refusal {
+                GatherRefusal::Stopping => {
+                    shared.peer_ejection().record_stopping(aggregator, now);
+                }
+                GatherRefusal::Busy => shared.aggregator_use().record_busy(aggregator, now),
+                GatherRefusal::OtherConfig => {}
             }
             tracing::info!(request_id = query.request_id(), %aggregator, ?refusal, "aggregator refused");
             Aggregation::NotStarted
@@ -220,11 +286,7 @@
             missing_count,
             body,
         } => {
-            // A slow process answers late, and so may targets; in both cases others are tried for a while.
-            match query.arrived_at.elapsed() > query.route.latency_goal {
-                true => shared.peer_ejection().record_late(aggregator, shared.now()),
-                false => shared.peer_ejection().record_success(aggregator),
-            }
+            record_answer_time(query, aggregator);
             let signatures: Result<Vec<HeaderValue>, _> = signatures
                 .iter()
                 .map(|signature| HeaderValue::from_bytes(signature))
@@ -242,7 +304,7 @@
             is_timed_out,
             is_not_run,
         } => {
-            shared.peer_ejection().record_success(aggregator);
+            record_answer_time(query, aggregator);
             let kind = match is_timed_out {
                 true => RequestErrorKind::TimedOut,
                 false => RequestErrorKind::CoverageLow,
@@ -255,6 +317,18 @@
     }
 }
 
+/// Records whether an aggregator answered within the latency goal. A late answer counts as load.
+fn record_answer_time(query: &QueryContext, aggregator: SocketAddr) {
+    let shared = &query.shared;
+    let now = shared.now();
+    if query.arrived_at.elapsed() <= query.route.latency_goal {
+        shared.peer_ejection().record_success(aggregator, now);
+    } else {
+        shared.peer_ejection().record_late(aggregator, now);
+        shared.aggregator_use().record_late(aggregator, now);
+    }
+}
+
 /// Converts the failure of a call to an aggregator.
 const fn handle_error(error: &PeerError) -> Aggregation {
     match error.kind {
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -39,7 +39,7 @@
     pub fingerprint: u64,
     /// Number of strikes of the query when it began.
     pub known_strikes: usize,
-    /// Number of aggregators if this process is one of them and the query is a scatter-gather one.
+    /// Number of processes that may aggregate if this process is one of them and the query is a scatter-gather one.
     pub aggregator_count: Option<usize>,
 }
 
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -1,7 +1,10 @@
 //! State that all tasks of the process share.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -17,9 +20,13 @@
 use arc_swap::ArcSwapOption;
 use limpet_decide::{
     aggregator::{
+        AggregatorChoice,
+        AggregatorChooser,
         AggregatorDirectory,
         AggregatorNode,
+        AggregatorUse,
         PeerEjection,
+        Place,
         QueryRate, //
     },
     cold_share,
@@ -127,6 +134,11 @@
     pub peer_client: PeerClient,
     /// Processes that may run scatter-gather queries for this one.
     aggregators: Mutex<AggregatorDirectory>,
+    aggregator_chooser: Mutex<AggregatorChooser>,
+    /// Scatter-gather queries of this process at other processes.
+    aggregator_use: Mutex<AggregatorUse>,
+    /// Version of the membership at which gone processes were last removed from the directory of aggregators.
+    aggregators_version: AtomicU64,
     peer_ejection: Mutex<PeerEjection>,
     /// Load that the other processes report.
     peer_loads: Mutex<PeerLoads>,
@@ -181,6 +193,9 @@
             background_tasks: Mutex::new(JoinSet::new()),
             peer_client: PeerClient::new(),
             aggregators: Mutex::new(aggregators),
+            aggregator_chooser: Mutex::new(AggregatorChooser::new()),
+            aggregator_use: Mutex::new(AggregatorUse::new()),
+            aggregators_version: AtomicU64::new(0),
             peer_ejection: Mutex::new(PeerEjection::new()),
             peer_loads: Mutex::new(PeerLoads::new()),
             load_tracker: Mutex::new(LoadTracker::new()),
@@ -200,6 +215,36 @@
         lock(&self.aggregators)
     }
 
+    /// Locks the scatter-gather queries of this process at other processes.
+    pub fn aggregator_use(&self) -> MutexGuard<'_, AggregatorUse> {
+        lock(&self.aggregator_use)
+    }
+
+    /// Chooses where a scatter-gather query runs; `draw` returns random numbers in 0..1.
+    pub fn choose_aggregator(
+        &self,
+        choice: &AggregatorChoice<'_>,
+        draw: &mut dyn FnMut() -> f64,
+    ) -> Place {
+        let mut chooser = lock(&self.aggregator_chooser);
+        chooser.choose(&mut self.aggregators(), choice, draw)
+    }
+
+    /// Removes the processes that no longer count from the directory of aggregators, so that their capacity does not
+    /// keep others out of the extended set.
+    pub fn remove_gone_aggregators(&self) {
+        let membership = self.membership();
+        let version = membership.version();
+        if self.aggregators_version.swap(version, Ordering::Relaxed) == version {
+            return;
+        }
+        let own_addr = self.settings.peer_addr;
+        // A process may announce itself before its first report arrives.
+        let known: HashSet<SocketAddr> = membership.report_addrs().into_iter().collect();
+        self.aggregators()
+            .retain(|addr| addr == own_addr || known.contains(&addr));
+    }
+
     /// Returns whom this process follows for the state of the deployment, chosen from the live processes.
     pub fn readers(&self, live_addrs: &[SocketAddr]) -> Readers {
         let aggregators = self.aggregators();
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -28,6 +28,8 @@
 
 /// Fraction of the usable connections that the aggregators share.
 const AGGREGATOR_CONNECTIONS_FRACTION: f64 = 0.5;
+/// Equal share of the connections below which a process holds only one, and aggregators get a part of their own.
+const EQUAL_SHARE_MIN: f64 = 2.0;
 
 /// Function that returns the time between two requests of this process to a cold target, or `None` if it may send
 /// none.
@@ -50,8 +52,8 @@
     pub needs_free_slot: bool,
     /// Number of processes that share the targets.
     pub process_count: usize,
-    /// Number of aggregators if this process is one of them. They share a part of the connections beside
-    /// all processes if a target has too few for every process.
+    /// Number of processes that may aggregate if this process is one of them. They share a part of the connections
+    /// beside all processes if a target has too few for two of each process.
     pub aggregator_count: Option<usize>,
 }
 
@@ -61,7 +63,7 @@
         let usable_connection_count = f64::from(self.connections_max) * USABLE_CONNECTIONS_FRACTION;
         let share = connections_share(self.connections_max, self.process_count);
         let aggregator_share = match self.aggregator_count {
-            Some(count) if share < 1.0 => {
+            Some(count) if share < EQUAL_SHARE_MIN => {
                 usable_connection_count * AGGREGATOR_CONNECTIONS_FRACTION / count.max(1) as f64
             }
             Some(_) | None => 0.0,
