Admit queries by an adaptive limit and a priority queue

Cause: gathers that arrive faster than the targets answer got slower until few were within their goal. A fixed number of queries per core was refused with Busy while the processor was idle, and waiting queries had no order.

Change: each group of services has a queue in the process that runs the query. It limits the queries that run, orders those that wait by priority and the end of their goal, and refuses at once what cannot be in time, with Retry-After. Aggregators answer Busy from the same queue; a query that two of them refused is refused to its caller. The time that a caller waited before a retry now shortens its goal, also without teams.

--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! benchmarked on its own. A point in time is a `Duration`: the time since boot on the clock of the
 //! process that makes the decision.
 
+pub mod admission;
 pub mod aggregator;
 pub mod cold_share;
 pub mod fair;
--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -41,6 +41,7 @@
         QueryContext,
         RequestError,
         RequestErrorKind,
+        RunStatistics,
         request_fingerprint,
         run_placed_gather,
         run_split, //
@@ -274,10 +275,12 @@
     if restriction == Restriction::Quarantined {
         return Err(RequestError::not_run(RequestErrorKind::Quarantined));
     }
+    let caller_waited = caller_timeout.map_or(Duration::ZERO, |caller_timeout| {
+        let team = team.as_deref().unwrap_or_default();
+        shared.record_caller_timeout(&route, team, caller_timeout)
+    });
     if let Some(team) = &team {
-        let is_late = caller_timeout.is_some_and(|caller_timeout| {
-            shared.record_caller_timeout(&route, team, caller_timeout)
-        });
+        let is_late = caller_waited + mean_latency.unwrap_or_default() > route.latency_goal;
         let (admission, process_counts) = {
             let mut rate_limiter = shared.rate_limiter();
             let admission = rate_limiter.admit(team, is_late, shared.now());
@@ -295,7 +298,7 @@
     Ok(QueryContext {
         shared: Arc::clone(shared),
         route_table,
-        goal_at: arrived_at + route.latency_goal,
+        goal_at: goal_end(arrived_at, route.latency_goal, caller_waited),
         priority,
         route,
         request,
@@ -304,9 +307,16 @@
         fingerprint,
         known_strikes,
         aggregator_count: None,
+        run_statistics: RunStatistics::default(),
     })
 }
 
+/// Returns the end of the goal of a request whose caller had waited before it sent this attempt.
+fn goal_end(arrived_at: Instant, goal: Duration, caller_waited: Duration) -> Instant {
+    let goal_at = (arrived_at + goal).checked_sub(caller_waited);
+    goal_at.unwrap_or(arrived_at)
+}
+
 /// Returns the headers without the hop-by-hop ones, including those named in `Connection`.
 fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     let connection_options: Vec<HeaderName> = headers
--- a/crates/limpet-gateway/src/query/aggregation.rs
+++ b/crates/limpet-gateway/src/query/aggregation.rs
@@ -28,7 +28,8 @@
     Answer,
     QueryContext,
     RequestErrorKind,
-    run_scatter_gather, //
+    RunStatistics,
+    admission::run_admitted, //
 };
 use crate::{
     route_table::RouteTable,
@@ -50,14 +51,11 @@
     let Destination::ScatterGather(gather) = &route.destination else {
         return GatherReply::Refused(GatherRefusal::OtherConfig);
     };
-    let Some(_guard) = shared.aggregation_slots.begin() else {
-        metrics::counter!("limpet_aggregations_total", "result" => "busy").increment(1);
-        return GatherReply::Refused(GatherRefusal::Busy);
-    };
     let Some(outgoing_request) = build_outgoing_request(&request) else {
         return GatherReply::Refused(GatherRefusal::OtherConfig);
     };
-    metrics::counter!("limpet_aggregations_total", "result" => "run").increment(1);
+    // Counts the query for a planned stop; whether it is refused is decided by its queue.
+    let _guard = shared.aggregation_slots.begin();
     let now = Instant::now();
     let waited = request.waited.saturating_add(RETURN_TIME);
     let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
@@ -87,8 +85,16 @@
             .strike_table()
             .strike_count(request.fingerprint, shared.now()),
         aggregator_count,
+        run_statistics: RunStatistics::default(),
+    };
+    let outcome = run_admitted(Arc::new(query), gather).await;
+    let is_busy = matches!(&outcome, Err(error) if error.kind == RequestErrorKind::Overloaded);
+    let result = match is_busy {
+        true => "busy",
+        false => "run",
     };
-    match run_scatter_gather(Arc::new(query), gather).await {
+    metrics::counter!("limpet_aggregations_total", "result" => result).increment(1);
+    match outcome {
         Ok(Answer::Gathered {
             signatures,
             missing_count,
@@ -106,6 +112,7 @@
             is_timed_out: false,
             is_not_run: false,
         },
+        Err(_) if is_busy => GatherReply::Refused(GatherRefusal::Busy),
         Err(error) => GatherReply::Failed {
             is_timed_out: error.kind == RequestErrorKind::TimedOut,
             is_not_run: error.is_not_run,
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -65,6 +65,8 @@
     let result = exchange(query, target, connections_limit).await;
     let (latency, now) = timer.stop();
     let mean_latency = shared.with_route_latency(&query.route.name, |latency| latency.mean());
+    let is_rejected = matches!(&result, Err(error) if error.kind == AttemptErrorKind::NotRun);
+    query.run_statistics.record_part(is_rejected);
     if result.is_ok() {
         shared
             .strike_table()
--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -3,6 +3,8 @@
 //! A query is one admitted request of a caller together with all attempts that are made for it: at one
 //! target, or at one target of each shard.
 
+mod admission;
+mod admission_state;
 mod aggregation;
 mod attempt;
 mod crash_check;
@@ -10,11 +12,13 @@
 mod outcome;
 mod placed_gather;
 mod query_context;
+mod run_statistics;
 mod scatter_gather;
 mod service_attempts;
 mod split;
 
 pub use self::{
+    admission_state::AdmissionState,
     aggregation::serve_aggregation,
     crash_check::is_no_listener,
     merge::greatest_records,
@@ -30,6 +34,7 @@
         QueryContext,
         request_fingerprint, //
     },
+    run_statistics::RunStatistics,
     scatter_gather::run_scatter_gather,
     split::run_split,
 };
--- a/crates/limpet-gateway/src/query/outcome.rs
+++ b/crates/limpet-gateway/src/query/outcome.rs
@@ -30,6 +30,8 @@
     NoConfig,
     /// The request is quarantined because it is suspected of crashing targets.
     Quarantined,
+    /// The request could not be answered within its goal, because too many others wait.
+    Overloaded,
     /// No target is available for the request.
     NoTarget,
     /// None of the targets that were tried ran the request.
@@ -57,6 +59,7 @@
             Self::NoMemory => "no_memory",
             Self::NoConfig => "no_text",
             Self::Quarantined => "quarantined",
+            Self::Overloaded => "overloaded",
             Self::NoTarget => "no_target",
             Self::Shed => "shed",
             Self::CoverageLow => "coverage_low",
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -26,12 +26,11 @@
 use tokio::time::Instant;
 
 use super::{
-    Answer,
-    Outcome,
-    QueryContext,
-    RequestError,
-    RequestErrorKind,
-    run_scatter_gather, //
+    Answer, Outcome, QueryContext, RequestError, RequestErrorKind,
+    admission::{
+        refuse_busy,
+        run_admitted, //
+    },
 };
 use crate::target::connections_share;
 
@@ -54,6 +53,8 @@
     Ended(Outcome),
     /// It did not start the query.
     NotStarted,
+    /// It refused the query because others wait there.
+    Busy,
 }
 
 /// Runs a scatter-gather query at an aggregator if that serves the caller better, else in this process.
@@ -64,10 +65,11 @@
     let shared = Arc::clone(&query.shared);
     let is_rate_high = shared.record_scatter_gather();
     if is_rate_high && has_connections_for_all(&query, gather) {
-        return run_scatter_gather(query, gather).await;
+        return run_admitted(query, gather).await;
     }
     let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
     let mut refused_by = Vec::new();
+    let mut busy_count = 0;
     while refused_by.len() < AGGREGATORS_MAX {
         let Some(aggregator) = choose_aggregator(&query, &shard_shares, &refused_by) else {
             break;
@@ -75,8 +77,15 @@
         match aggregate_at(&query, aggregator).await {
             Aggregation::Ended(outcome) => return outcome,
             Aggregation::NotStarted => refused_by.push(aggregator),
+            Aggregation::Busy => {
+                refused_by.push(aggregator);
+                busy_count += 1;
+            }
         }
     }
+    if busy_count == AGGREGATORS_MAX {
+        return Err(refuse_busy(&query, &refused_by));
+    }
     metrics::counter!("limpet_gathers_total", "place" => "here").increment(1);
     run_here(&query, gather, &shard_shares).await
 }
@@ -108,7 +117,7 @@
         aggregator_count,
         ..query.copy()
     };
-    run_scatter_gather(Arc::new(query), gather).await
+    run_admitted(Arc::new(query), gather).await
 }
 
 /// Chooses the aggregator for a query; returns `None` if it should run in this process.
@@ -176,7 +185,7 @@
     };
     let label = match &aggregation {
         Aggregation::Ended(_) => "aggregator",
-        Aggregation::NotStarted => "refused",
+        Aggregation::NotStarted | Aggregation::Busy => "refused",
     };
     metrics::counter!("limpet_gathers_total", "place" => label).increment(1);
     aggregation
@@ -213,7 +222,10 @@
                 shared.peer_ejection().record_stopping(aggregator, now);
             }
             tracing::info!(request_id = query.request_id(), %aggregator, ?refusal, "aggregator refused");
-            Aggregation::NotStarted
+            match refusal {
+                GatherRefusal::Busy => Aggregation::Busy,
+                GatherRefusal::Stopping | GatherRefusal::OtherConfig => Aggregation::NotStarted,
+            }
         }
         GatherReply::Gathered {
             signatures,
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
+use super::RunStatistics;
 use crate::{
     route_table::RouteTable,
     shared_state::SharedState,
@@ -41,6 +42,8 @@
     pub known_strikes: usize,
     /// Number of aggregators if this process is one of them and the query is a scatter-gather one.
     pub aggregator_count: Option<usize>,
+    /// What the attempts of this run tell about it.
+    pub run_statistics: RunStatistics,
 }
 
 impl QueryContext {
@@ -51,6 +54,7 @@
             route_table: Arc::clone(&self.route_table),
             route: self.route.clone(),
             request: self.request.clone(),
+            run_statistics: RunStatistics::default(),
             ..*self
         }
     }
@@ -60,6 +64,12 @@
         self.request.request_id.to_str().unwrap_or("?")
     }
 
+    /// Returns the time since the query arrived, without its wait for a permit.
+    pub fn run_time(&self) -> Duration {
+        let queue_wait = self.run_statistics.queue_wait();
+        self.arrived_at.elapsed().saturating_sub(queue_wait)
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/limpet-gateway/src/query/split.rs
+++ b/crates/limpet-gateway/src/query/split.rs
@@ -6,11 +6,10 @@
 use rand::Rng;
 
 use super::{
-    Answer,
     Outcome,
     QueryContext,
     RequestError,
-    service_attempts::ServiceAttempts, //
+    admission::run_admitted_lookup, //
 };
 
 /// Chooses a service with a probability proportional to its weight; `draw` is a random number in 0..1.
@@ -35,12 +34,5 @@
     let draw = rand::rng().random_range(0.0..1.0);
     let no_target_error = RequestError::not_run(super::RequestErrorKind::NoTarget);
     let service = choose_service(split, draw).ok_or(no_target_error)?;
-    match ServiceAttempts::new(query, service).run().await {
-        Ok(reply) => Ok(Answer::Reply(reply)),
-        Err(error) if error.is_not_run => Err(RequestError {
-            retry_after: error.retry_after,
-            ..RequestError::not_run(error.kind)
-        }),
-        Err(error) => Err(RequestError::may_have_run(error.kind)),
-    }
+    run_admitted_lookup(query, service).await
 }
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -56,6 +56,7 @@
         Membership, //
     },
     memory::BodyMemory,
+    query::AdmissionState,
     rate::{
         RateLimiter,
         WaitTimeEstimator, //
@@ -138,6 +139,8 @@
     idle_timeout_ms: AtomicU64,
     /// Queries that this process runs for others.
     pub aggregation_slots: AggregationSlots,
+    /// Queues of the queries that this process runs.
+    admission: AdmissionState,
 }
 
 /// Locks a field. A poisoned lock is accepted: the fields hold plain data that stays usable after a panic
@@ -187,9 +190,15 @@
             query_rate: Mutex::new(QueryRate::new()),
             idle_timeout_ms: AtomicU64::new(DEFAULT_IDLE_TIMEOUT_MS),
             aggregation_slots,
+            admission: AdmissionState::new(),
         }
     }
 
+    /// Returns the queues of the queries that this process runs.
+    pub const fn admission(&self) -> &AdmissionState {
+        &self.admission
+    }
+
     /// Returns what this process announces about itself.
     pub fn own_announcement(&self) -> Announcement {
         announcement(&self.settings)
@@ -382,27 +391,22 @@
         apply(route_latencies.entry(route.into()).or_default())
     }
 
-    /// Records the timeout that a caller stated, and returns whether an answer can no longer meet the latency
-    /// goal of the route.
+    /// Records the timeout that a caller stated, and returns how long it had waited before it sent the request.
     ///
-    /// A caller that retries after a refusal sends a shorter timeout, which tells how long it has already
-    /// waited.
+    /// A caller that retries after a refusal sends a shorter timeout than usual. `team` is empty for a request
+    /// without a team.
     pub fn record_caller_timeout(
         &self,
         route: &Route,
         team: &str,
         caller_timeout: Duration,
-    ) -> bool {
-        let waited = {
-            let mut wait_time_estimators = lock(&self.wait_time_estimators);
-            let estimators_by_team = wait_time_estimators.entry(route.name.clone()).or_default();
-            let estimator = estimators_by_team.entry(team.into()).or_default();
-            let waited = estimator.time_waited(caller_timeout);
-            estimator.record(caller_timeout);
-            waited
-        };
-        let mean_latency = self.with_route_latency(&route.name, |latency| latency.mean());
-        waited + mean_latency.unwrap_or_default() > route.latency_goal
+    ) -> Duration {
+        let mut wait_time_estimators = lock(&self.wait_time_estimators);
+        let estimators_by_team = wait_time_estimators.entry(route.name.clone()).or_default();
+        let estimator = estimators_by_team.entry(team.into()).or_default();
+        let waited = estimator.time_waited(caller_timeout);
+        estimator.record(caller_timeout);
+        waited
     }
 
     /// Installs the newest config of the deployment state: replaces the routes and the teams, and removes the
