--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -33,12 +33,11 @@
 use tokio::time::Instant;
 
 use super::{
-    Answer,
-    Outcome,
-    QueryContext,
-    RequestError,
-    RequestErrorKind,
-    run_scatter_gather, //
+    Answer, Outcome, QueryContext, RequestError, RequestErrorKind,
+    admission::{
+        refuse_busy,
+        run_admitted, //
+    },
 };
 use crate::{
     shared_state::SharedState,
@@ -64,6 +63,8 @@
     Ended(Outcome),
     /// It did not start the query.
     NotStarted,
+    /// It refused the query because others wait there.
+    Busy,
 }
 
 /// Runs a scatter-gather query at an aggregator if that serves the caller better, else in this process.
@@ -74,10 +75,11 @@
     let shared = Arc::clone(&query.shared);
     let is_rate_high = shared.record_scatter_gather();
     if is_rate_high && has_connections_for_all(&query, gather) {
-        return run_scatter_gather(query, gather).await;
+        return run_admitted(query, gather).await;
     }
     let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
     let mut refused_by = Vec::new();
+    let mut busy_count = 0;
     while refused_by.len() < AGGREGATORS_MAX {
         let Place::At(aggregator) = choose_place(&query, &shard_shares, &refused_by) else {
             break;
@@ -85,8 +87,15 @@
         match aggregate_at(&query, aggregator).await {
             Aggregation::Ended(outcome) => return outcome,
             Aggregation::NotStarted => refused_by.push(aggregator),
+            Aggregation::Busy => {
+                refused_by.push(aggregator);
+                busy_count += 1;
+            }
         }
     }
+    if busy_count == AGGREGATORS_MAX {
+        return Err(refuse_busy(&query, &refused_by));
+    }
     metrics::counter!("limpet_gathers_total", "place" => "here").increment(1);
     run_here(&query, gather, &shard_shares).await
 }
@@ -118,7 +127,7 @@
         aggregator_count,
         ..query.copy()
     };
-    run_scatter_gather(Arc::new(query), gather).await
+    run_admitted(Arc::new(query), gather).await
 }
 
 /// Chooses where a query runs.
@@ -238,7 +247,7 @@
     };
     let label = match &aggregation {
         Aggregation::Ended(_) => "aggregator",
-        Aggregation::NotStarted => "refused",
+        Aggregation::NotStarted | Aggregation::Busy => "refused",
     };
     metrics::counter!("limpet_gathers_total", "place" => label).increment(1);
     aggregation
@@ -279,7 +288,10 @@
                 GatherRefusal::OtherConfig => {}
             }
             tracing::info!(request_id = query.request_id(), %aggregator, ?refusal, "aggregator refused");
-            Aggregation::NotStarted
+            match refusal {
+                GatherRefusal::Busy => Aggregation::Busy,
+                GatherRefusal::Stopping | GatherRefusal::OtherConfig => Aggregation::NotStarted,
+            }
         }
         GatherReply::Gathered {
             signatures,
