Keep the urgent kind in time when several processes share the targets

Change: urgent queries borrow permits of less urgent ones, a route without recent run times is probed, the baseline ignores the time around a reached limit, and rises wait for the effect of a fall and for the slowest route.

--- a/crates/limpet-decide/src/admission/admission_queue.rs
+++ b/crates/limpet-decide/src/admission/admission_queue.rs
@@ -22,11 +22,27 @@
 const QUEUE_LENGTH_FACTOR: usize = 4;
 /// Smallest fraction of the permits that a priority can count on while more urgent queries wait.
 const LOWER_PRIORITY_FRACTION: f64 = 0.125;
+/// Fraction of the limit by which more urgent queries may exceed it while less urgent ones run, at least one query.
+/// They take the permits that become free next; otherwise, with few permits, the wait for one of them alone could
+/// use up a short goal.
+const BORROWED_FRACTION: f64 = 0.5;
+/// Number of mean deviations that a query must have left beyond the mean run time to be let into the queue. One that
+/// waits needs only the mean, so small changes of the run time do not refuse it after it has waited.
+const ARRIVAL_MARGIN_DEVIATIONS: f64 = 1.0;
+/// Multiple of its expected wait that a query must have left to be let into the queue, for the same reason.
+const ARRIVAL_WAIT_FACTOR: f64 = 1.1;
+/// Time for which run times do not belong to the baseline after the limit was reached: other processes that share the
+/// targets are probably loaded too.
+const PRESSED_TIME: Duration = Duration::from_secs(2);
+/// Time without a completed query of a route, as a multiple of its goal, after which one is admitted even if the
+/// known run time is too long.
+const PROBE_GOAL_FACTOR: u32 = 2;
 
 /// Right to run one query. It must be given back by [`AdmissionQueue::finish`] or [`AdmissionQueue::cancel`].
 #[derive(Debug, PartialEq)]
 #[must_use]
 pub struct Permit {
+    priority: u32,
     route: NameHash,
     goal: Duration,
     started_at: Duration,
@@ -85,6 +101,10 @@
     waiting: WaitingQueue,
     queue_bytes_max: usize,
     running_count: usize,
+    /// Queries that run, by priority.
+    running_by_priority: BTreeMap<u32, usize>,
+    /// When the limit was last reached.
+    pressed_at: Option<Duration>,
     next_id: u64,
     /// Rates at which queries start, by priority.
     starts: BTreeMap<u32, DecayedRate>,
@@ -118,6 +138,8 @@
             waiting: WaitingQueue::default(),
             queue_bytes_max,
             running_count: 0,
+            running_by_priority: BTreeMap::new(),
+            pressed_at: None,
             next_id: 0,
             starts: BTreeMap::new(),
             verdicts: Vec::new(),
@@ -150,12 +172,12 @@
     /// Decides on a query that arrives. [`AdmissionQueue::take_verdicts`] must follow, because it may displace
     /// others.
     pub fn arrive(&mut self, arrival: Arrival, now: Duration) -> Decision {
-        if self.free_count() > 0 {
+        if self.free_count() > 0 || self.may_borrow(arrival.priority) {
             return Decision::Start(self.start(&arrival, Duration::ZERO, now));
         }
         let ahead_count = self.waiting.count_before(arrival.priority, arrival.goal_at);
         let expected_wait = self.wait_behind(arrival.priority, ahead_count, now);
-        if !self.is_in_time(&arrival, expected_wait, now) {
+        if !self.may_wait(&arrival, ahead_count, expected_wait, now) {
             return Decision::Refuse(Refusal {
                 reason: RefusalReason::Late,
                 expected_wait,
@@ -188,13 +210,15 @@
 
     /// Takes back the permit of a query that ended, and learns from it.
     pub fn finish(&mut self, permit: Permit, report: &RunReport, now: Duration) {
-        self.running_count -= 1;
+        self.release(permit.priority);
+        let is_pressed = |at: Duration| now.saturating_sub(at) < PRESSED_TIME;
         let run = CompletedRun {
             route: permit.route,
             goal: permit.goal,
             run_time: now.saturating_sub(permit.started_at),
             waited: permit.waited,
             running_count: permit.running_count,
+            is_pressed: self.pressed_at.is_some_and(is_pressed),
             // A query that ends while others wait used a permit that another one needed.
             is_limit_used: permit.is_limit_used || !self.waiting.is_empty(),
             report: *report,
@@ -205,8 +229,7 @@
 
     /// Takes back the permit of a query that did not run, or whose caller gave up.
     pub fn cancel(&mut self, permit: Permit, now: Duration) {
-        let Permit { .. } = permit;
-        self.running_count -= 1;
+        self.release(permit.priority);
         self.settle(now);
     }
 
@@ -240,12 +263,41 @@
         self.limit.permit_count().saturating_sub(self.running_count)
     }
 
+    /// Returns whether a query may start beyond the limit, because it takes the next permit of a less urgent one.
+    fn may_borrow(&self, priority: u32) -> bool {
+        let permit_count = self.limit.permit_count();
+        let borrowed_max = ((permit_count as f64 * BORROWED_FRACTION) as usize).max(1);
+        let last_running = self.running_by_priority.last_key_value();
+        self.running_count < permit_count + borrowed_max
+            && last_running.is_some_and(|(running, _)| *running > priority)
+    }
+
+    /// Counts a query that no longer runs.
+    fn release(&mut self, priority: u32) {
+        self.running_count -= 1;
+        if let Some(count) = self.running_by_priority.get_mut(&priority) {
+            *count -= 1;
+            if *count == 0 {
+                self.running_by_priority.remove(&priority);
+            }
+        }
+    }
+
+    /// Removes the query that may start now, if there is one.
+    fn pop_startable(&mut self) -> Option<Waiting> {
+        if self.free_count() > 0 {
+            return self.waiting.pop_next();
+        }
+        let first = *self.waiting.iter().next()?;
+        self.may_borrow(first.arrival.priority)
+            .then(|| self.waiting.remove(&first))
+            .flatten()
+    }
+
     /// Refuses the queries that can no longer be in time, and starts others while permits are free.
     fn settle(&mut self, now: Duration) {
         self.refuse_late(now);
-        while self.free_count() > 0
-            && let Some(waiting) = self.waiting.pop_next()
-        {
+        while let Some(waiting) = self.pop_startable() {
             let waited = now.saturating_sub(waiting.arrived_at);
             let permit = self.start(&waiting.arrival, waited, now);
             self.verdicts.push((waiting.id, Verdict::Start(permit)));
@@ -259,7 +311,15 @@
             .entry(arrival.priority)
             .or_default()
             .record(1.0, now);
+        *self
+            .running_by_priority
+            .entry(arrival.priority)
+            .or_default() += 1;
+        if self.free_count() == 0 {
+            self.pressed_at = Some(now);
+        }
         Permit {
+            priority: arrival.priority,
             route: arrival.route,
             goal: arrival.goal,
             started_at: now,
@@ -276,14 +336,20 @@
         let mut remaining_count = self.waiting.len();
         let mut ahead_count = 0;
         let mut late = Vec::new();
+        let mut pace = None;
         for waiting in self.waiting.iter() {
             let arrival = &waiting.arrival;
+            let permits_per_s = match pace {
+                Some((priority, permits_per_s)) if priority == arrival.priority => permits_per_s,
+                _ => self.permits_per_s(arrival.priority, now),
+            };
+            pace = Some((arrival.priority, permits_per_s));
             let expected_wait = match ahead_count < free_count {
                 true => Duration::ZERO,
-                false => self.wait_behind(arrival.priority, ahead_count - free_count, now),
+                false => wait_at(permits_per_s, ahead_count - free_count),
             };
             let is_last = remaining_count == 1 && free_count > 0;
-            if is_last || self.is_in_time(arrival, expected_wait, now) {
+            if is_last || self.may_stay(arrival, ahead_count, expected_wait, now) {
                 ahead_count += 1;
             } else {
                 remaining_count -= 1;
@@ -306,25 +372,64 @@
         }
     }
 
-    /// Returns the latest time at which a query may start.
+    /// Returns the latest time at which a query that waits may start.
     fn latest_start_at(&self, arrival: &Arrival) -> Duration {
-        let needed_time = self.limit.needed_time(arrival.route, arrival.goal);
+        let needed_time = self.limit.needed_time(arrival.route, arrival.goal, 0.0);
         arrival.goal_at.saturating_sub(needed_time)
     }
 
-    /// Returns whether a query would be answered within its goal after a wait.
-    fn is_in_time(&self, arrival: &Arrival, wait: Duration, now: Duration) -> bool {
-        now + wait <= self.latest_start_at(arrival)
+    /// Returns whether a query that arrives, with `ahead_count` others before it, may wait.
+    fn may_wait(
+        &self,
+        arrival: &Arrival,
+        ahead_count: usize,
+        wait: Duration,
+        now: Duration,
+    ) -> bool {
+        let needed_time =
+            self.limit
+                .needed_time(arrival.route, arrival.goal, ARRIVAL_MARGIN_DEVIATIONS);
+        let wait = wait.mul_f64(ARRIVAL_WAIT_FACTOR);
+        self.is_probe(arrival, ahead_count, now) || now + wait + needed_time <= arrival.goal_at
+    }
+
+    /// Returns whether a query that waits, with `ahead_count` others before it, may go on waiting.
+    fn may_stay(
+        &self,
+        arrival: &Arrival,
+        ahead_count: usize,
+        wait: Duration,
+        now: Duration,
+    ) -> bool {
+        let is_probe = self.is_probe(arrival, ahead_count, now);
+        is_probe || now + wait <= self.latest_start_at(arrival)
+    }
+
+    /// Returns whether a query is needed to learn the run time of its route.
+    ///
+    /// Otherwise a route whose queries are all refused for their long run time would never learn that it has become
+    /// shorter, and its goal would no longer limit the other routes of the group.
+    fn is_probe(&self, arrival: &Arrival, ahead_count: usize, now: Duration) -> bool {
+        let learned_at = self.limit.route_runs(arrival.route).updated_at();
+        ahead_count == 0
+            && now < arrival.goal_at
+            && now.saturating_sub(learned_at) > arrival.goal * PROBE_GOAL_FACTOR
     }
 
     /// Returns the time until a query gets a permit that `ahead_count` others get before it; zero before the first
     /// query has ended.
+    fn wait_behind(&self, priority: u32, ahead_count: usize, now: Duration) -> Duration {
+        wait_at(self.permits_per_s(priority, now), ahead_count)
+    }
+
+    /// Returns the rate at which the waiting queries of a priority, and those before them, get permits; infinite
+    /// before the first query has ended.
     ///
-    /// More urgent queries that arrive meanwhile go first, so the query advances only by the permits that they
+    /// More urgent queries that arrive meanwhile go first, so the queue advances only by the permits that they
     /// leave.
-    fn wait_behind(&self, priority: u32, ahead_count: usize, now: Duration) -> Duration {
+    fn permits_per_s(&self, priority: u32, now: Duration) -> f64 {
         let Some(completions_per_s) = self.limit.completions_per_s() else {
-            return Duration::ZERO;
+            return f64::INFINITY;
         };
         let urgent_per_s: f64 = self
             .starts
@@ -337,7 +442,12 @@
         };
         let available =
             (1.0 - urgent_per_s / completions_per_s).clamp(LOWER_PRIORITY_FRACTION, available_max);
-        let wait_s = (ahead_count as f64 + 1.0) / (completions_per_s * available);
-        Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
+        completions_per_s * available
     }
 }
+
+/// Returns the time until a query gets a permit that `ahead_count` others get before it.
+fn wait_at(permits_per_s: f64, ahead_count: usize) -> Duration {
+    let wait_s = (ahead_count as f64 + 1.0) / permits_per_s;
+    Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
+}
--- a/crates/limpet-decide/src/admission/concurrency_limit.rs
+++ b/crates/limpet-decide/src/admission/concurrency_limit.rs
@@ -14,11 +14,17 @@
 
 /// Factor by which the limit falls.
 const DECREASE_FACTOR: f64 = 0.9;
-/// Fraction of the run time at which the limit falls up to which an answer is well within the goal.
-const INCREASE_FRACTION: f64 = 0.75;
+/// Fraction of the run time at which the limit falls up to which an answer is well within the goal. Between the
+/// two, the time left is needed for the wait of urgent queries that arrive together.
+const INCREASE_FRACTION: f64 = 0.5;
+/// Number of mean deviations by which the run time that is compared with the goal exceeds the mean. With the mean
+/// alone a tenth of the urgent answers of several processes were late in the model of the tests.
+const SLOW_DEVIATIONS: f64 = 2.0;
 /// Multiple of its baseline that the run time of a route must exceed to lower the limit. Some routes take nearly
 /// their whole goal on an idle site, because the slowest shard decides.
 const DECREASE_BASELINE_FACTOR: f64 = 1.5;
+/// Fraction of the run time up to which the limit may rise from which on a route is near it.
+const NEAR_FRACTION: f64 = 0.5;
 /// Multiple of its baseline up to which the run time of a route allows a higher limit.
 const INCREASE_BASELINE_FACTOR: f64 = 1.2;
 /// Fraction of the parts that no target ran above which the limit falls.
@@ -26,6 +32,9 @@
 /// Fraction of the attempts that targets rejected above which the limit falls. A few faulty targets that reject
 /// a half of their requests stay below it.
 const REJECTED_ATTEMPTS_FRACTION: f64 = 0.5;
+/// Time after a fall during which the limit does not rise. Without it, the limits of several processes that share
+/// targets rise and fall together.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Weight of a query in the smoothed fractions of rejections.
 const REJECTION_WEIGHT: f64 = 0.1;
 /// Time for which a route without queries keeps its say in a rise of the limit.
@@ -69,6 +78,8 @@
     pub running_count: usize,
     /// Whether the limit was reached while it ran.
     pub is_limit_used: bool,
+    /// Whether the limit was reached a short time before it ended.
+    pub is_pressed: bool,
     /// How it ended.
     pub report: RunReport,
 }
@@ -127,13 +138,13 @@
         self.runs_by_route.get(&route).copied().unwrap_or_default()
     }
 
-    /// Returns the time that a query of a route must have left when it starts.
+    /// Returns the run time of a route with a margin of some mean deviations.
     ///
     /// It is at most the fraction of the goal at which the limit falls, because a gather can answer with the
     /// parts that have arrived.
-    pub fn needed_time(&self, route: NameHash, goal: Duration) -> Duration {
-        let typical = self.route_runs(route).typical();
-        typical.min(goal.mul_f64(self.limits.decrease_goal_fraction))
+    pub fn needed_time(&self, route: NameHash, goal: Duration, deviations: f64) -> Duration {
+        let run_time = self.route_runs(route).with_deviations(deviations);
+        run_time.min(goal.mul_f64(self.limits.decrease_goal_fraction))
     }
 
     /// Learns from a query that ran, and adapts the limit.
@@ -147,15 +158,17 @@
         let has_rejections = self.failed_parts_fraction > FAILED_PARTS_FRACTION
             || self.rejected_attempts_fraction > REJECTED_ATTEMPTS_FRACTION;
         let runs = self.route_runs(run.route);
-        let is_slow = run.report.has_run_time
-            && runs.mean() > self.decrease_time(run.goal)
+        // A limit that is not reached does not cause the run times, so its fall would not shorten them.
+        let is_slow = run.is_pressed
+            && run.report.has_run_time
+            && runs.with_deviations(SLOW_DEVIATIONS) > self.decrease_time(run.goal)
             && runs.mean() > runs.baseline().mul_f64(DECREASE_BASELINE_FACTOR);
         if is_slow || has_rejections {
             if is_new {
                 self.limit = (self.limit * DECREASE_FACTOR).max(self.min);
                 self.decreased_at = Some(now);
             }
-        } else if run.is_limit_used && run.report.is_in_time && self.are_routes_fast(now) {
+        } else if run.is_limit_used && run.report.is_in_time && self.may_rise(run.route, now) {
             self.limit = (self.limit + 1.0 / self.limit).min(self.max);
         }
     }
@@ -181,8 +194,8 @@
             true => run.run_time + run.waited,
             false => run.run_time,
         };
-        let is_low_concurrency = run.running_count <= 1
-            || run.running_count as f64 <= self.limit * LOW_CONCURRENCY_FRACTION;
+        let low_count = (self.limit * LOW_CONCURRENCY_FRACTION).max(1.0);
+        let is_low_concurrency = !run.is_pressed && run.running_count as f64 <= low_count;
         self.all_runs.record(run.run_time, is_low_concurrency, now);
         if self.runs_by_route.len() >= ROUTES_MAX && !self.runs_by_route.contains_key(&run.route) {
             let oldest = self
@@ -198,16 +211,34 @@
         runs.record(run_time, is_low_concurrency, now);
     }
 
-    /// Returns whether the queries of all active routes end well within their goals, or as fast as at low
-    /// concurrency.
-    fn are_routes_fast(&self, now: Duration) -> bool {
-        let active = self
-            .runs_by_route
-            .values()
-            .filter(|runs| now.saturating_sub(runs.updated_at()) < ROUTE_ACTIVE_TIME);
-        active.into_iter().all(|runs| {
-            runs.mean() <= self.decrease_time(runs.goal).mul_f64(INCREASE_FRACTION)
-                || runs.mean() <= runs.baseline().mul_f64(INCREASE_BASELINE_FACTOR)
-        })
+    /// Returns whether a completed query of a route may raise the limit: the queries of all active routes end well
+    /// within their goals, or as fast as at low concurrency.
+    ///
+    /// Once a route comes near its bound, only its own queries count. Otherwise those of a more frequent route would
+    /// raise the limit far beyond the bound before the run time shows it.
+    fn may_rise(&self, route: NameHash, now: Duration) -> bool {
+        let is_settled = self
+            .decreased_at
+            .is_none_or(|at| now.saturating_sub(at) >= SETTLE_TIME);
+        let (mut is_any_near, mut is_route_near) = (false, false);
+        for (active, runs) in &self.runs_by_route {
+            if now.saturating_sub(runs.updated_at()) >= ROUTE_ACTIVE_TIME {
+                continue;
+            }
+            let bound = self.increase_time(runs);
+            if runs.mean() > bound {
+                return false;
+            }
+            let is_near = runs.mean() > bound.mul_f64(NEAR_FRACTION);
+            is_any_near |= is_near;
+            is_route_near |= is_near && *active == route;
+        }
+        is_settled && (is_route_near || !is_any_near)
+    }
+
+    /// Returns the smoothed run time up to which a route lets the limit rise.
+    fn increase_time(&self, runs: &RouteRuns) -> Duration {
+        let by_goal = self.decrease_time(runs.goal).mul_f64(INCREASE_FRACTION);
+        by_goal.max(runs.baseline().mul_f64(INCREASE_BASELINE_FACTOR))
     }
 }
--- a/crates/limpet-decide/src/admission/route_runs.rs
+++ b/crates/limpet-decide/src/admission/route_runs.rs
@@ -2,16 +2,16 @@
 
 use std::time::Duration;
 
-/// Weight of a new run time in the smoothed one: about ten queries have most of the weight.
-const SAMPLE_WEIGHT: f64 = 0.1;
+/// Weight of a new run time in the smoothed one: about five queries have most of the weight.
+const SAMPLE_WEIGHT: f64 = 0.2;
 /// Weight of a new run time in the baseline if it is shorter than the baseline.
 const BASELINE_FALL_WEIGHT: f64 = 0.05;
 /// Weight of a new run time in the baseline if it is longer. It is smaller, because the targets may be loaded by
 /// other processes while this one runs few queries.
 const BASELINE_RISE_WEIGHT: f64 = 0.01;
-/// Number of mean deviations by which the typical run time exceeds the mean, so that most queries that start at
-/// the last moment are still in time.
-const TYPICAL_DEVIATIONS: f64 = 1.0;
+/// Number of run times from which on the baseline is used. A process that starts in an overload measures a few slow
+/// ones before its limit is reached.
+const BASELINE_SAMPLES_MIN: u32 = 20;
 
 /// Smoothed run time of a route, and the baseline that it has while few queries run.
 #[derive(Clone, Copy, Debug, Default)]
@@ -53,14 +53,17 @@
         Duration::from_secs_f64(self.mean_s)
     }
 
-    /// Returns the run time that most queries do not exceed; zero before the first query ended.
-    pub fn typical(&self) -> Duration {
-        Duration::from_secs_f64(self.mean_s + TYPICAL_DEVIATIONS * self.deviation_s)
+    /// Returns the smoothed run time with a number of mean deviations added; zero before the first query ended.
+    pub fn with_deviations(&self, deviations: f64) -> Duration {
+        Duration::from_secs_f64(self.mean_s + deviations * self.deviation_s)
     }
 
     /// Returns the run time while few queries run; zero if that is not known.
     pub fn baseline(&self) -> Duration {
-        Duration::from_secs_f64(self.baseline_s)
+        match self.baseline_sample_count >= BASELINE_SAMPLES_MIN {
+            true => Duration::from_secs_f64(self.baseline_s),
+            false => Duration::ZERO,
+        }
     }
 
     /// Returns when the last query ended.
