Wait for budget and room with retries, and divide the slack by use

Waiting requests polled every 4 ms.

Change: the budget moves to limpet-decide::attempt_budget. Hedges use at most half of it, and 0.8 of the slack accrues by reported use. A rejected attempt does not count against attempts_max; its target is asked again after a backoff if no other one is left. Retries and first attempts wait for a notification in the order of their rank; TARGET_POLL_INTERVAL is gone. Hedges may follow each other, come earlier for the last parts, and a connection that is only kept for later use is let go when a request waits for it. A gather ends as soon as its coverage is out of reach, and is not run if no attempt may have run. An answer with its coverage is sent when its missing parts are not worth the wait.

Two tests of single_target.rs change: a target that rejected is asked again after 50 ms, so the number of requests is bounded per target instead of being two, and the time of the refusal is checked too. tests/retry_budget.rs moves to limpet-decide with its checks.

--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -5,9 +5,11 @@
 //! process that makes the decision.
 
 pub mod aggregator;
+pub mod attempt_budget;
 pub mod cold_share;
 pub mod fair;
 pub mod freshness;
+pub mod gather;
 pub mod grant;
 pub mod hedge;
 pub mod lease;
--- a/crates/limpet-gateway/src/lib.rs
+++ b/crates/limpet-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod members;
 pub mod memory;
 pub mod query;
+pub mod ranked_waiters;
 pub mod rate;
 pub mod retry_budget;
 pub mod route_latency;
--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -441,5 +441,6 @@
         self.shared
             .rate_limiter()
             .set_process_counts(process_counts, now);
+        self.shared.room_notifier.wake_all();
     }
 }
--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -5,7 +5,9 @@
 
 mod aggregation;
 mod attempt;
+mod attempt_wait;
 mod crash_check;
+mod gather_progress;
 mod merge;
 mod outcome;
 mod placed_gather;
--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -1,4 +1,4 @@
-//! A request to one target of a service, with retries and hedges at other targets where the route allows
+//! All attempts of a request at the targets of a service, with retries and hedges at other targets where the route allows
 //! them.
 
 use std::{
@@ -12,10 +12,16 @@
     StreamExt,
     stream::FuturesUnordered, //
 };
+use limpet_decide::{
+    attempt_budget::{
+        ExtraAttempt,
+        RetryRank, //
+    },
+    gather::HedgeTiming,
+};
 use limpet_types::deployment::TargetId;
 use tokio::time::{
     Instant,
-    sleep,
     sleep_until,
     timeout, //
 };
@@ -23,23 +29,29 @@
 use super::{
     QueryContext,
     RequestErrorKind,
-    attempt::run_attempt, //
+    attempt::run_attempt,
+    attempt_wait::AttemptWait,
+    gather_progress::GatherProgress, //
 };
 use crate::target::{
     AttemptError,
+    AttemptErrorKind,
+    RoomGuard,
+    ServiceRoom,
     Target,
     TargetCriteria,
     TargetReply, //
 };
 
-/// Shortest delay before a hedge, an extra attempt while the first one is still in flight.
-const HEDGE_DELAY_MIN: Duration = Duration::from_millis(8);
-/// Longest delay before a hedge, as a fraction of the latency goal of the route.
-const HEDGE_DELAY_GOAL_FRACTION: f64 = 0.4;
 /// Longest time for which a request waits for paused targets, as a fraction of the latency goal of the route.
 const PAUSE_GOAL_FRACTION: f64 = 0.25;
-/// Time between two tries to pick a target while none has capacity.
-const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(4);
+/// Time before the deadline at which no attempt is started any more.
+const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(8);
+/// Fraction of the latency goal within which a request that has not run anywhere is refused if no target takes it.
+const REFUSAL_GOAL_FRACTION: f64 = 0.25;
+/// Time after which a target that rejected a request may be asked for the same request again; doubled by each further
+/// rejection.
+const ASK_AGAIN_DELAY: Duration = Duration::from_millis(50);
 /// How long the remaining attempts may run on after the first reply, because a connection is reusable only
 /// after a complete reply.
 const DETACHED_ATTEMPTS_TIMEOUT: Duration = Duration::from_millis(150);
@@ -69,33 +81,95 @@
 type AttemptFuture =
     Pin<Box<dyn Future<Output = (Arc<Target>, Result<TargetReply, AttemptError>)> + Send>>;
 
+/// An attempt that should start as soon as that is possible.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wanted {
+    /// The first attempt.
+    First,
+    /// An attempt after another one failed, for this reason.
+    Retry(&'static str),
+    /// An attempt while another one is in flight.
+    Hedge,
+}
+
+/// Result of a try to start an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Start {
+    /// The attempt is in flight.
+    Started,
+    /// The attempt waits for budget or for room.
+    Waiting,
+    /// The attempt is not allowed or not possible.
+    Impossible,
+}
+
+/// A target that did not run the request.
+#[derive(Debug)]
+struct RejectedTarget {
+    id: TargetId,
+    rejection_count: u32,
+    /// Time from which on the target may be asked again if no other one is left.
+    ask_again_at: Duration,
+}
+
 /// All attempts of one query at one service, with the rules for retries and hedges.
 pub(super) struct ServiceAttempts {
     query: Arc<QueryContext>,
     service: Box<str>,
-    /// Targets that an attempt was made at.
+    room: Arc<ServiceRoom>,
+    progress: Arc<GatherProgress>,
+    /// Index of the part in the query.
+    part: usize,
+    started_at: Instant,
+    /// Targets that may run or may have run the request.
     tried_targets: Vec<TargetId>,
+    rejected_targets: Vec<RejectedTarget>,
+    /// Number of attempts that may run or may have run.
+    counted_attempts: u32,
     /// Number of attempts that may have reached a target.
-    sent_attempt_count: u32,
+    arrived_attempts: u32,
     /// Whether a target may have run the request.
     may_have_run: bool,
     attempts_in_flight: FuturesUnordered<AttemptFuture>,
     /// Latest error reply of a target.
     last_failed_reply: Option<TargetReply>,
+    wanted: Option<Wanted>,
+    wait: AttemptWait,
+    /// Start of the latest attempt, from which the delay of the next hedge counts.
+    hedge_from: Option<Instant>,
 }
 
 impl ServiceAttempts {
-    /// Prepares the attempts of a query at `service`.
+    /// Prepares the attempts of a query at the only service that it is sent to.
     pub(super) fn new(query: Arc<QueryContext>, service: &str) -> Self {
+        Self::new_part(query, service, &Arc::new(GatherProgress::new(1)), 0)
+    }
+
+    /// Prepares the attempts for one part of a query.
+    pub(super) fn new_part(
+        query: Arc<QueryContext>,
+        service: &str,
+        progress: &Arc<GatherProgress>,
+        part: usize,
+    ) -> Self {
         query.shared.record_service_request(service);
         Self {
+            room: query.shared.room_notifier.service(service),
             query,
             service: service.into(),
+            progress: Arc::clone(progress),
+            part,
+            started_at: Instant::now(),
             tried_targets: Vec::new(),
-            sent_attempt_count: 0,
+            rejected_targets: Vec::new(),
+            counted_attempts: 0,
+            arrived_attempts: 0,
             may_have_run: false,
             attempts_in_flight: FuturesUnordered::new(),
             last_failed_reply: None,
+            wanted: Some(Wanted::First),
+            wait: AttemptWait::default(),
+            hedge_from: None,
         }
     }
 
@@ -104,11 +178,13 @@
     /// In the last case, returns the latest error reply of a target, if there was one.
     pub(super) async fn run(mut self) -> Result<TargetReply, ServiceError> {
         let result = self.run_attempts().await;
+        self.progress.record_end(self.part);
         if let Err(error) = &result {
             tracing::info!(
                 request_id = self.query.request_id(), service = %self.service,
                 reason = error.kind.label(), not_run = error.is_not_run,
-                tried = ?self.tried_targets, left_ms = self.query.time_left().as_millis(),
+                tried = ?self.tried_targets, rejected = ?self.rejected_targets,
+                left_ms = self.query.time_left().as_millis(),
                 "no attempt at the service succeeded"
             );
         }
@@ -117,87 +193,364 @@
 
     /// Runs the attempts; [`ServiceAttempts::run`] logs a failure.
     async fn run_attempts(&mut self) -> Result<TargetReply, ServiceError> {
-        self.start_first_attempt().await?;
-        let mut hedge_time = self.hedge_time();
         loop {
-            let finished = tokio::select! {
-                finished = self.attempts_in_flight.next() => finished,
-                () = sleep_until(hedge_time.unwrap_or(self.query.deadline)), if hedge_time.is_some() => {
-                    hedge_time = None;
-                    self.start_hedge();
-                    continue;
-                }
-                () = sleep_until(self.query.deadline) => return Err(TIMED_OUT),
-            };
-            let Some((_, result)) = finished else {
+            if let Some(wanted) = self.wanted {
+                self.advance(wanted)?;
+            }
+            if self.wanted.is_none() && self.attempts_in_flight.is_empty() {
                 return self.final_result();
+            }
+            let hedge_at = self.hedge_at();
+            let timer = match self.wanted {
+                Some(wanted) => self.wait_limit(wanted),
+                None => hedge_at.unwrap_or(self.query.deadline),
             };
-            match result {
-                Ok(reply) if !reply.status.is_server_error() => {
-                    self.detach_remaining_attempts();
-                    return Ok(reply);
-                }
-                // The target ran the request and answered with an error.
-                Ok(reply) => {
-                    self.may_have_run = true;
-                    self.last_failed_reply = Some(reply);
-                    if self.query.route.is_idempotent() {
-                        self.start_retry("failed_reply");
+            let awaits_last_parts = hedge_at.is_some() && !self.progress.is_at_last_parts();
+            tokio::select! {
+                Some((target, result)) = self.attempts_in_flight.next() => {
+                    if let Some(reply) = self.handle_result(&target, result) {
+                        return Ok(reply);
                     }
                 }
-                Err(error) => {
-                    self.may_have_run |= !error.kind.is_not_run();
-                    if !error.kind.may_have_arrived() {
-                        self.sent_attempt_count = self.sent_attempt_count.saturating_sub(1);
-                    }
-                    let may_retry = error.kind.is_not_run() || self.query.route.is_idempotent();
-                    if may_retry {
-                        self.start_retry(error.kind.label());
+                () = self.wait.woken(), if self.wanted.is_some() => {}
+                // The hedge of one of the last parts is due earlier.
+                () = self.progress.reach_last_parts(), if awaits_last_parts => {}
+                () = sleep_until(timer.min(self.query.deadline)) => self.handle_timer()?,
+            }
+        }
+    }
+
+    /// Handles the end of the time for which the attempts were awaited.
+    fn handle_timer(&mut self) -> Result<(), ServiceError> {
+        let is_over = self.query.time_left().is_zero();
+        match self.wanted {
+            Some(Wanted::First) => return Err(self.no_target_error()),
+            Some(_) => {
+                self.wanted = None;
+                self.hedge_from = None;
+                self.wait.clear();
+            }
+            None if !is_over => {
+                self.record_straggler();
+                self.wanted = Some(Wanted::Hedge);
+            }
+            None => {}
+        }
+        match is_over && !self.attempts_in_flight.is_empty() {
+            true => Err(TIMED_OUT),
+            false => Ok(()),
+        }
+    }
+
+    /// Handles the result of an attempt; returns the reply if it is the one for the caller.
+    fn handle_result(
+        &mut self,
+        target: &Target,
+        result: Result<TargetReply, AttemptError>,
+    ) -> Option<TargetReply> {
+        let (cause, may_retry) = match result {
+            Ok(reply) if !reply.status.is_server_error() => {
+                self.detach_remaining_attempts();
+                return Some(reply);
+            }
+            // The target ran the request and answered with an error.
+            Ok(reply) => {
+                self.may_have_run = true;
+                self.last_failed_reply = Some(reply);
+                ("failed_reply", self.query.route.is_idempotent())
+            }
+            Err(error) => {
+                let is_not_run = error.kind.is_not_run();
+                self.may_have_run |= !is_not_run;
+                if is_not_run {
+                    self.counted_attempts = self.counted_attempts.saturating_sub(1);
+                    self.progress.record_not_run();
+                    // Another target at the address rejects the request however often it is asked.
+                    if error.kind != AttemptErrorKind::WrongTarget {
+                        self.record_rejection(target);
                     }
                 }
+                if !error.kind.may_have_arrived() {
+                    self.arrived_attempts = self.arrived_attempts.saturating_sub(1);
+                }
+                let may_retry = is_not_run || self.query.route.is_idempotent();
+                (error.kind.label(), may_retry)
             }
+        };
+        if may_retry {
+            self.wait.clear();
+            self.wanted = Some(Wanted::Retry(cause));
+        }
+        if self.attempts_in_flight.is_empty() {
+            self.progress.record_idle(self.part, may_retry);
         }
+        None
     }
 
-    /// Starts the first attempt as soon as a target has capacity; fails if the service has no target that
-    /// accepts requests or the deadline is near.
-    async fn start_first_attempt(&mut self) -> Result<(), ServiceError> {
-        loop {
-            if self.start_attempt(false) {
-                return Ok(());
+    /// Notes that a target did not run the request, so that it may be asked again later.
+    fn record_rejection(&mut self, target: &Target) {
+        self.tried_targets.retain(|id| *id != target.id);
+        let now = self.query.shared.now();
+        let mut known = self.rejected_targets.iter_mut();
+        match known.find(|rejected| rejected.id == target.id) {
+            Some(rejected) => {
+                rejected.rejection_count += 1;
+                let delay = ASK_AGAIN_DELAY * (1 << rejected.rejection_count.min(4));
+                rejected.ask_again_at = now + delay;
             }
-            let shared = &self.query.shared;
-            let pause = shared.fleet().shortest_pause(&self.service, shared.now());
-            let is_paused = pause.is_some_and(|pause| {
-                pause >= self.query.route.latency_goal.mul_f64(PAUSE_GOAL_FRACTION)
-            });
-            let is_late = self.query.time_left() < TARGET_POLL_INTERVAL * 2;
-            if pause.is_none() || is_paused || is_late {
-                return Err(ServiceError {
-                    kind: RequestErrorKind::NoTarget,
-                    is_not_run: true,
-                    retry_after: pause.filter(|pause| !pause.is_zero()),
-                });
+            None => self.rejected_targets.push(RejectedTarget {
+                id: target.id.clone(),
+                rejection_count: 0,
+                ask_again_at: now + ASK_AGAIN_DELAY,
+            }),
+        }
+    }
+
+    /// Tries to start the attempt that is wanted.
+    fn advance(&mut self, wanted: Wanted) -> Result<(), ServiceError> {
+        match self.try_start(wanted) {
+            Start::Started => {
+                self.wanted = None;
+                self.wait.clear();
+                self.hedge_from = Some(Instant::now());
+            }
+            Start::Waiting => {}
+            Start::Impossible if wanted == Wanted::First => return Err(self.no_target_error()),
+            Start::Impossible => {
+                self.wanted = None;
+                self.wait.clear();
+                // A hedge that is refused may be allowed after another delay.
+                self.hedge_from = match wanted {
+                    Wanted::Hedge => Some(Instant::now()),
+                    Wanted::First | Wanted::Retry(_) => None,
+                };
             }
-            sleep(TARGET_POLL_INTERVAL).await;
         }
+        Ok(())
     }
 
-    /// Starts an attempt at a target that was not tried yet; returns false if none has capacity.
+    /// Starts an attempt if budget and room allow it, or waits for them.
+    fn try_start(&mut self, wanted: Wanted) -> Start {
+        if !self.is_allowed(wanted) {
+            return Start::Impossible;
+        }
+        let extra = match wanted {
+            Wanted::First => None,
+            Wanted::Retry(cause) => Some((ExtraAttempt::Retry, cause)),
+            Wanted::Hedge => Some((ExtraAttempt::Hedge, HEDGE_CAUSE)),
+        };
+        // An attempt that reached no target caused no load, so the one that replaces it needs no budget.
+        let spent = extra.filter(|_| self.arrived_attempts > 0);
+        if let Some((kind, cause)) = spent
+            && !self.spend(kind)
+        {
+            metrics::counter!("limpet_repeats_refused_total", "cause" => cause).increment(1);
+            return match kind {
+                ExtraAttempt::Retry => Start::Waiting,
+                ExtraAttempt::Hedge => Start::Impossible,
+            };
+        }
+        if !self.start_attempt(wanted) {
+            if let Some((kind, _)) = spent {
+                let shared = &self.query.shared;
+                let budgets = shared.retry_budgets(&self.service);
+                budgets.refund(&self.service, kind, shared.now());
+            }
+            return self.wait_for_room(wanted);
+        }
+        if let Some((_, cause)) = extra {
+            metrics::counter!("limpet_repeats_total", "cause" => cause).increment(1);
+            tracing::info!(
+                request_id = self.query.request_id(), service = %self.service, cause,
+                sent = self.counted_attempts, "request repeated"
+            );
+        }
+        Start::Started
+    }
+
+    /// Returns whether the route allows an attempt and there is time for it.
+    fn is_allowed(&self, wanted: Wanted) -> bool {
+        let has_time = self.query.time_left() >= ATTEMPT_TIME_MIN;
+        match wanted {
+            Wanted::First => has_time,
+            Wanted::Retry(_) => has_time && self.counted_attempts < self.query.route.attempts_max,
+            Wanted::Hedge => {
+                has_time
+                    && !self.attempts_in_flight.is_empty()
+                    && self.counted_attempts < self.query.route.attempts_max
+            }
+        }
+    }
+
+    /// Spends an extra attempt; a retry that is refused waits for the budget.
+    fn spend(&mut self, kind: ExtraAttempt) -> bool {
+        let query = Arc::clone(&self.query);
+        let budgets = query.shared.retry_budgets(&self.service);
+        let now = query.shared.now();
+        let mut result = budgets.try_spend(&self.service, kind, self.wait.budget(), now);
+        if result.is_err() && kind == ExtraAttempt::Retry && self.wait.budget().is_none() {
+            let place = budgets.wait(&self.service, self.rank());
+            self.wait.wait_for_budget(place);
+            // The budget may have changed before the retry was among those that wait.
+            result = budgets.try_spend(&self.service, kind, self.wait.budget(), now);
+        }
+        if let Err(next_change) = result {
+            let is_first = self.wait.budget().is_some_and(|place| place.is_first());
+            let delay = next_change.saturating_sub(now);
+            self.wait.wake_after(is_first.then_some(delay));
+        }
+        result.is_ok()
+    }
+
+    /// Waits until a target may have room, if that can happen.
+    fn wait_for_room(&mut self, wanted: Wanted) -> Start {
+        let is_new = self.wait.wait_for_room(&self.room, self.rank());
+        if is_new {
+            if wanted != Wanted::Hedge {
+                self.room.wanted.notify_waiters();
+            }
+            // A target may have got room before the request was among those that wait; the budget is spent anew.
+            return self.try_start(wanted);
+        }
+        self.wait.pass_on();
+        let shared = &self.query.shared;
+        let now = shared.now();
+        let (has_other_target, next_allowed_at) = self.with_criteria(false, true, |criteria| {
+            let fleet = shared.fleet();
+            (
+                fleet.has_other_target(criteria, now),
+                fleet.next_allowed_at(criteria, now),
+            )
+        });
+        let next_ask_at = self
+            .rejected_targets
+            .iter()
+            .map(|rejected| rejected.ask_again_at)
+            .filter(|ask_again_at| !has_other_target && *ask_again_at > now)
+            .min();
+        let wake_at = next_ask_at.into_iter().chain(next_allowed_at).min();
+        self.wait
+            .wake_after(wake_at.map(|wake_at| wake_at.saturating_sub(now)));
+        let may_come = match wanted {
+            Wanted::First => !self.is_paused(),
+            Wanted::Retry(_) => {
+                has_other_target || !self.rejected_targets.is_empty() || wake_at.is_some()
+            }
+            Wanted::Hedge => has_other_target,
+        };
+        match may_come {
+            true => Start::Waiting,
+            false => Start::Impossible,
+        }
+    }
+
+    /// Returns whether no target accepts requests, or all want none for too long.
+    fn is_paused(&self) -> bool {
+        let shared = &self.query.shared;
+        let pause = shared.fleet().shortest_pause(&self.service, shared.now());
+        pause
+            .is_none_or(|pause| pause >= self.query.route.latency_goal.mul_f64(PAUSE_GOAL_FRACTION))
+    }
+
+    /// Returns the time until which a wanted attempt waits.
     ///
-    /// With `needs_free_slot`, only targets that can process the request at once are picked.
-    fn start_attempt(&mut self, needs_free_slot: bool) -> bool {
+    /// A late part is hardly worth the room that it takes, and a request that ran nowhere should be refused early.
+    fn wait_limit(&self, wanted: Wanted) -> Instant {
+        let latest = self
+            .query
+            .deadline
+            .checked_sub(ATTEMPT_TIME_MIN)
+            .unwrap_or(self.query.deadline);
+        let refusal_at =
+            self.started_at + self.query.route.latency_goal.mul_f64(REFUSAL_GOAL_FRACTION);
+        match wanted {
+            Wanted::First | Wanted::Hedge => latest,
+            Wanted::Retry(_) if self.progress.may_have_run() => {
+                latest.min(self.query.goal_at.max(refusal_at))
+            }
+            Wanted::Retry(_) => latest.min(refusal_at),
+        }
+    }
+
+    /// Returns the rank of this request among those that wait.
+    fn rank(&self) -> RetryRank {
+        let goal_left = self.query.goal_at.saturating_duration_since(Instant::now());
+        RetryRank {
+            priority: self.query.priority,
+            missing_count: self.progress.missing_count(),
+            goal_at: self.query.shared.now() + goal_left,
+        }
+    }
+
+    /// Starts an attempt; returns false if no target has room.
+    ///
+    /// A target that rejected the request is asked again only if no other accepts requests. A hedge needs a target with
+    /// a free slot, because under load it would only lengthen the queues.
+    fn start_attempt(&mut self, wanted: Wanted) -> bool {
+        let shared = Arc::clone(&self.query.shared);
+        let now = shared.now();
+        let needs_free_slot = wanted == Wanted::Hedge;
+        let picked = self.with_criteria(needs_free_slot, true, |criteria| {
+            let fleet = shared.fleet();
+            let limit = criteria.connections_limit();
+            match fleet.pick(criteria, now) {
+                Some(target) => Ok((target, limit)),
+                None => Err(fleet.has_other_target(criteria, now)),
+            }
+        });
+        let picked = match picked {
+            Err(false) if !self.rejected_targets.is_empty() => {
+                self.with_criteria(needs_free_slot, false, |criteria| {
+                    let target = shared.fleet().pick(criteria, now)?;
+                    Some((target, criteria.connections_limit()))
+                })
+            }
+            picked => picked.ok(),
+        };
+        let Some((target, connections_limit)) = picked else {
+            return false;
+        };
+        self.tried_targets.push(target.id.clone());
+        self.counted_attempts += 1;
+        self.arrived_attempts += 1;
+        let may_try_again = self.counted_attempts < self.query.route.attempts_max;
+        self.progress.record_start(self.part, may_try_again);
         let query = Arc::clone(&self.query);
+        let room = Arc::clone(&self.room);
+        self.attempts_in_flight.push(Box::pin(async move {
+            let _guard = RoomGuard(room);
+            let result = run_attempt(&query, &target, connections_limit).await;
+            (target, result)
+        }));
+        true
+    }
+
+    /// Calls `apply` with the criteria for the target of the next attempt.
+    ///
+    /// Targets that rejected the request are excluded, all of them or only those that may not be asked again yet.
+    fn with_criteria<T>(
+        &self,
+        needs_free_slot: bool,
+        excludes_all_rejected: bool,
+        apply: impl FnOnce(&TargetCriteria<'_>) -> T,
+    ) -> T {
+        let query = &self.query;
         let shared = &query.shared;
+        let now = shared.now();
         let service = query.route_table.service(&self.service);
         let process_count = shared.rate_limiter().process_counts().total;
         let cold_rate_per_s = service.map_or(0.0, |service| service.cold_rate_per_s);
         let cold_send_interval =
             |target: &Target| shared.cold_send_interval(target, cold_rate_per_s);
-        let criteria = TargetCriteria {
+        let rejected = self.rejected_targets.iter();
+        let rejected =
+            rejected.filter(|rejected| excludes_all_rejected || rejected.ask_again_at > now);
+        let rejected = rejected.map(|rejected| rejected.id.clone());
+        let excluded: Vec<TargetId> = rejected.chain(self.tried_targets.iter().cloned()).collect();
+        apply(&TargetCriteria {
             service: &self.service,
             zone: &shared.settings.zone,
-            tried_targets: &self.tried_targets,
+            tried_targets: &excluded,
             connections_max: service.map_or(1, |service| service.connections_max),
             cold_send_interval: match cold_rate_per_s > 0.0 {
                 true => Some(&cold_send_interval),
@@ -206,95 +559,65 @@
             needs_free_slot,
             process_count,
             aggregator_count: query.aggregator_count,
-        };
-        let connections_limit = criteria.connections_limit();
-        let Some(target) = shared.fleet().pick(&criteria, shared.now()) else {
-            return false;
-        };
-        self.tried_targets.push(target.id.clone());
-        self.sent_attempt_count += 1;
-        let attempt_query = Arc::clone(&query);
-        self.attempts_in_flight.push(Box::pin(async move {
-            let result = run_attempt(&attempt_query, &target, connections_limit).await;
-            (target, result)
-        }));
-        true
+        })
     }
 
-    /// Returns when a hedge may be sent, or `None` if the route does not allow one.
-    fn hedge_time(&self) -> Option<Instant> {
+    /// Returns when the next hedge may be sent, or `None` if none is allowed.
+    fn hedge_at(&self) -> Option<Instant> {
         let route = &self.query.route;
-        if !route.is_idempotent() || route.attempts_max < 2 {
-            return None;
-        }
-        let delay_max = route.latency_goal.mul_f64(HEDGE_DELAY_GOAL_FRACTION);
+        let is_allowed = self.wanted.is_none()
+            && route.is_idempotent()
+            && self.counted_attempts < route.attempts_max;
+        let hedge_from = self.hedge_from.filter(|_| is_allowed)?;
         let shared = &self.query.shared;
-        let delay = shared.with_route_latency(&route.name, |latency| latency.straggler_delay());
-        let delay = delay
-            .unwrap_or(delay_max)
-            .min(delay_max)
-            .max(HEDGE_DELAY_MIN);
-        Some(Instant::now() + delay)
+        let timing = shared.with_route_latency(&route.name, |latency| HedgeTiming {
+            mean_latency: latency.mean(),
+            straggler_delay: latency.straggler_delay(),
+            goal: route.latency_goal,
+        });
+        Some(hedge_from + timing.delay(self.progress.is_at_last_parts()))
     }
 
-    /// Starts a hedge because the latest attempt is a straggler, if another attempt is allowed.
-    fn start_hedge(&mut self) {
-        let shared = Arc::clone(&self.query.shared);
-        if self.sent_attempt_count >= self.query.route.attempts_max
-            || self.attempts_in_flight.is_empty()
-        {
-            return;
-        }
-        let now = shared.now();
+    /// Records that the latest attempt takes long.
+    fn record_straggler(&self) {
+        let shared = &self.query.shared;
         let mean_latency =
             shared.with_route_latency(&self.query.route.name, |latency| latency.mean());
-        let waited = self.query.arrived_at.elapsed();
+        let waited = self
+            .hedge_from
+            .map_or(Duration::ZERO, |from| from.elapsed());
         if let Some(id) = self.tried_targets.last()
             && let Some(target) = shared.fleet().get(id)
         {
+            let now = shared.now();
             target.health().record_straggler(waited, mean_latency, now);
         }
-        // A hedge needs a target with a free slot, because under load it would only lengthen the queues.
-        self.start_extra_attempt(HEDGE_CAUSE);
     }
 
-    /// Starts a retry after a failed attempt if attempts and time are left.
-    fn start_retry(&mut self, cause: &'static str) {
-        if self.sent_attempt_count < self.query.route.attempts_max
-            && self.query.time_left() > TARGET_POLL_INTERVAL
-        {
-            self.start_extra_attempt(cause);
+    /// Returns the error of a request that no target can get.
+    fn no_target_error(&self) -> ServiceError {
+        ServiceError {
+            kind: RequestErrorKind::NoTarget,
+            is_not_run: true,
+            retry_after: self.pause_left(),
         }
     }
 
-    /// Starts a retry or hedge if the retry budget of the service allows it.
-    fn start_extra_attempt(&mut self, cause: &'static str) {
-        let shared = Arc::clone(&self.query.shared);
-        // An attempt that reached no target caused no load, so the one that replaces it needs no budget.
-        let is_none_sent = self.sent_attempt_count == 0;
-        if !is_none_sent && !shared.try_spend_retry(&self.service) {
-            metrics::counter!("limpet_repeats_refused_total", "cause" => cause).increment(1);
-            return;
-        }
-        let is_sent = self.start_attempt(cause == HEDGE_CAUSE);
-        metrics::counter!("limpet_repeats_total", "cause" => cause).increment(1);
-        tracing::info!(
-            request_id = self.query.request_id(), service = %self.service, cause, is_sent,
-            sent = self.sent_attempt_count, "request repeated"
-        );
-    }
-
     /// Lets the remaining attempts run on for a while in the background, so that their connections can be
-    /// reused.
+    /// reused. They are cancelled at once if another request needs their room.
     fn detach_remaining_attempts(&mut self) {
-        if self.attempts_in_flight.is_empty() {
+        if self.attempts_in_flight.is_empty() || !self.room.waiters.is_empty() {
             return;
         }
         let mut remaining_attempts = std::mem::take(&mut self.attempts_in_flight);
-        let drive_attempts = async move { while remaining_attempts.next().await.is_some() {} };
+        let room = Arc::clone(&self.room);
         self.query.shared.spawn_background(async move {
+            let drive_attempts = async { while remaining_attempts.next().await.is_some() {} };
             // The attempts that are still in flight then are cancelled.
-            let _ = timeout(DETACHED_ATTEMPTS_TIMEOUT, drive_attempts).await;
+            tokio::select! {
+                _ = timeout(DETACHED_ATTEMPTS_TIMEOUT, drive_attempts) => {}
+                () = room.wanted.notified() => {}
+            }
         });
     }
 
--- a/crates/limpet-gateway/src/retry_budget.rs
+++ b/crates/limpet-gateway/src/retry_budget.rs
@@ -1,102 +1,136 @@
-//! Retry budget of a service over a sliding window.
+//! Retry budgets of all services, and the retries that wait for them.
 
 use std::{
-    collections::VecDeque,
-    time::Duration, //
+    collections::HashMap,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
 };
 
-/// Number of time intervals, each with a bucket of counts, into which the sliding window is divided.
-const BUCKET_COUNT: u32 = 20;
-/// Fraction of the allowed retries that is used; the rest is headroom, because the windows of the processes
-/// do not coincide.
-const USED_FRACTION: f64 = 0.8;
-
-/// Limits of the retries to one service over all processes.
-#[derive(Clone, Copy, Debug)]
-pub struct RetryLimits {
-    /// Retries allowed per request.
-    pub ratio: f64,
-    /// Retries allowed beyond the ratio, in each window and over all processes.
-    pub slack: f64,
-    /// Length of the sliding window.
-    pub window: Duration,
-}
+pub use limpet_decide::attempt_budget::RetryLimits;
+use limpet_decide::attempt_budget::{
+    AttemptBudget,
+    ExtraAttempt,
+    RetryRank,
+    SlackShare, //
+};
+
+use crate::ranked_waiters::{
+    RankedWait,
+    RankedWaiters, //
+};
+
+/// Time for which a computed share in the slack is used: the share is read for each request, and computing it visits
+/// the reports of all processes.
+const SHARE_MAX_AGE: Duration = Duration::from_millis(100);
 
-/// Counts for one of the time intervals of the window.
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
-    /// Index of the interval, counted from the start of the process.
-    index: u128,
-    /// Number of requests that started in the interval.
-    request_count: u32,
-    /// Number of retries that were spent in the interval.
-    retry_count: u32,
+/// Budget of one service.
+#[derive(Debug)]
+struct ServiceBudget {
+    budget: AttemptBudget,
+    /// Retries that wait for budget.
+    waiters: Arc<RankedWaiters>,
 }
 
-/// Requests and retries of one process to one service within the window.
-///
-/// A retry is any further attempt of a request, including a hedge.
+/// Retry budgets by service.
 #[derive(Debug)]
-pub struct RetryBudget {
+pub struct RetryBudgets {
     limits: RetryLimits,
-    buckets: VecDeque<Bucket>,
+    by_service: Mutex<HashMap<Box<str>, ServiceBudget>>,
 }
 
-impl RetryBudget {
-    /// Creates an empty budget.
-    pub const fn new(limits: RetryLimits) -> Self {
+impl RetryBudgets {
+    /// Creates empty budgets.
+    pub fn new(limits: RetryLimits) -> Self {
         Self {
             limits,
-            buckets: VecDeque::new(),
+            by_service: Mutex::default(),
         }
     }
 
-    /// Records a request for the service.
-    pub fn record_request(&mut self, now: Duration) {
-        self.current_bucket(now).request_count += 1;
+    /// Returns whether the share of this process in the slack of a service must be set.
+    pub fn needs_share(&self, service: &str, now: Duration) -> bool {
+        self.with(service, |entry| {
+            let share_set_at = entry.budget.share_set_at();
+            share_set_at.is_none_or(|set_at| now.saturating_sub(set_at) >= SHARE_MAX_AGE)
+        })
     }
 
-    /// Spends one retry if the requests and retries within the window allow it; returns whether it was spent.
+    /// Sets the share of this process in the slack of a service.
+    pub fn set_share(&self, service: &str, share: SlackShare, now: Duration) {
+        self.with(service, |entry| entry.budget.set_share(share, now));
+    }
+
+    /// Records a request for a service, which may allow a retry that waits.
+    pub fn record_request(&self, service: &str, now: Duration) {
+        self.with(service, |entry| {
+            entry.budget.record_request(now);
+            entry.waiters.wake_first();
+        });
+    }
+
+    /// Spends one extra attempt unless it is not allowed, or a retry of an earlier rank than `place` waits for budget.
     ///
-    /// The slack is divided among `process_count` processes.
-    pub fn try_spend(&mut self, process_count: usize, now: Duration) -> bool {
-        self.current_bucket(now);
-        let request_count: u32 = self.buckets.iter().map(|bucket| bucket.request_count).sum();
-        let retry_count: u32 = self.buckets.iter().map(|bucket| bucket.retry_count).sum();
-        let slack_share = self.limits.slack / process_count.max(1) as f64;
-        let allowed_retry_count =
-            (f64::from(request_count) * self.limits.ratio + slack_share) * USED_FRACTION;
-        let is_allowed = f64::from(retry_count) + 1.0 <= allowed_retry_count;
-        if is_allowed {
-            self.current_bucket(now).retry_count += 1;
-        }
-        is_allowed
+    /// # Errors
+    ///
+    /// Returns the time at which the budget next changes without a request.
+    pub fn try_spend(
+        &self,
+        service: &str,
+        kind: ExtraAttempt,
+        place: Option<&RankedWait>,
+        now: Duration,
+    ) -> Result<(), Duration> {
+        self.with(service, |entry| {
+            let is_next = match place {
+                Some(place) => place.is_first(),
+                None => entry.waiters.is_empty(),
+            };
+            match is_next && entry.budget.try_spend(kind, now) {
+                true => Ok(()),
+                false => Err(entry.budget.next_change(now)),
+            }
+        })
     }
 
-    /// Returns the bucket of the interval that contains `now`, after adding it if it is missing; removes the
-    /// buckets whose intervals have left the window.
-    fn current_bucket(&mut self, now: Duration) -> &mut Bucket {
-        let bucket_length = (self.limits.window / BUCKET_COUNT).max(Duration::from_millis(1));
-        let index = now.as_nanos() / bucket_length.as_nanos();
-        while self
-            .buckets
-            .front()
-            .is_some_and(|bucket| bucket.index + u128::from(BUCKET_COUNT) < index)
-        {
-            self.buckets.pop_front();
-        }
-        if self
-            .buckets
-            .back()
-            .is_none_or(|bucket| bucket.index != index)
-        {
-            self.buckets.push_back(Bucket {
-                index,
-                request_count: 0,
-                retry_count: 0,
-            });
+    /// Takes back an extra attempt that was spent and not sent.
+    pub fn refund(&self, service: &str, kind: ExtraAttempt, now: Duration) {
+        self.with(service, |entry| {
+            entry.budget.refund(kind, now);
+            entry.waiters.wake_first();
+        });
+    }
+
+    /// Adds a retry to those that wait for the budget of a service.
+    pub fn wait(&self, service: &str, rank: RetryRank) -> RankedWait {
+        self.with(service, |entry| entry.waiters.wait(rank))
+    }
+
+    /// Removes the budgets of the services that `is_used` does not name.
+    pub fn retain(&self, is_used: impl Fn(&str) -> bool) {
+        self.lock().retain(|service, _| is_used(service));
+    }
+
+    /// Calls `apply` with the budget of a service.
+    fn with<T>(&self, service: &str, apply: impl FnOnce(&mut ServiceBudget) -> T) -> T {
+        let mut by_service = self.lock();
+        if let Some(entry) = by_service.get_mut(service) {
+            return apply(entry);
         }
-        let last_index = self.buckets.len() - 1;
-        &mut self.buckets[last_index]
+        let entry = ServiceBudget {
+            budget: AttemptBudget::new(self.limits),
+            waiters: Arc::new(RankedWaiters::new()),
+        };
+        apply(by_service.entry(service.into()).or_insert(entry))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Box<str>, ServiceBudget>> {
+        self.by_service
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -22,10 +22,12 @@
         PeerEjection,
         QueryRate, //
     },
+    attempt_budget::SlackShare,
     cold_share,
     peer_load::{
         LoadTracker,
-        PeerLoads, //
+        PeerLoads,
+        name_hash, //
     },
     quarantine::StrikeTable,
     shutdown::StopSchedule,
@@ -39,7 +41,10 @@
     },
 };
 use limpet_peer::PeerClient;
-use limpet_types::deployment::Route;
+use limpet_types::{
+    deployment::Route,
+    message::NameHash, //
+};
 use rand::Rng;
 use tokio::{
     sync::watch,
@@ -60,13 +65,14 @@
         RateLimiter,
         WaitTimeEstimator, //
     },
-    retry_budget::RetryBudget,
+    retry_budget::RetryBudgets,
     route_latency::RouteLatency,
     route_table::RouteTable,
     settings::Settings,
     shutdown_state::ShutdownState,
     target::{
         Fleet,
+        RoomNotifier,
         Target, //
     },
 };
@@ -114,7 +120,9 @@
     membership: Mutex<Membership>,
     strike_table: Mutex<StrikeTable>,
     /// Retry budgets, by service.
-    retry_budgets: Mutex<HashMap<Box<str>, RetryBudget>>,
+    retry_budgets: RetryBudgets,
+    /// Requests that wait until a target has room, by service.
+    pub room_notifier: RoomNotifier,
     /// Latency statistics, by route.
     route_latencies: Mutex<HashMap<Box<str>, RouteLatency>>,
     /// Estimators of the time that callers have already waited, by route and team.
@@ -160,6 +168,7 @@
         aggregators.insert(settings.peer_addr, announcement(&settings).into_node());
         let deployment_state = DeploymentState::new(settings.lapse_limits);
         let aggregation_slots = AggregationSlots::new(settings.capacity_cores);
+        let retry_budgets = RetryBudgets::new(settings.retry_limits);
         let shutdown = ShutdownState::new(StopSchedule::new(settings.shutdown_timeout));
         Self {
             settings,
@@ -174,7 +183,8 @@
             rate_limiter: Mutex::new(RateLimiter::new(is_first_start)),
             membership: Mutex::new(membership),
             strike_table: Mutex::new(StrikeTable::new()),
-            retry_budgets: Mutex::new(HashMap::new()),
+            retry_budgets,
+            room_notifier: RoomNotifier::new(),
             route_latencies: Mutex::new(HashMap::new()),
             wait_time_estimators: Mutex::new(HashMap::new()),
             body_memory,
@@ -330,27 +340,30 @@
         lock(&self.strike_table)
     }
 
-    /// Records a request for a service in the retry budget of that service.
-    pub fn record_service_request(&self, service: &str) {
+    /// Returns the retry budgets, after the share of this process in the slack of a service was brought up to date.
+    pub fn retry_budgets(&self, service: &str) -> &RetryBudgets {
         let now = self.now();
-        self.with_retry_budget(service, |budget| budget.record_request(now));
+        if self.retry_budgets.needs_share(service, now) {
+            let share = self.slack_share(name_hash(service), now);
+            self.retry_budgets.set_share(service, share, now);
+        }
+        &self.retry_budgets
     }
 
-    /// Spends one retry from the budget of a service; returns false if the budget is exhausted.
-    pub fn try_spend_retry(&self, service: &str) -> bool {
-        let now = self.now();
-        let process_count = self.rate_limiter().process_counts().total;
-        self.with_retry_budget(service, |budget| budget.try_spend(process_count, now))
+    /// Returns the share of this process in the slack of a service.
+    fn slack_share(&self, service: NameHash, now: Duration) -> SlackShare {
+        let own_per_s = self.load_tracker().reported_rate(service);
+        let use_share = own_per_s
+            .and_then(|own_per_s| self.peer_loads().service_share(service, own_per_s, now));
+        let process_counts = self.rate_limiter().process_counts();
+        SlackShare::new(use_share, process_counts.total, process_counts.silent)
     }
 
-    /// Calls `apply` with the retry budget of a service.
-    fn with_retry_budget<T>(&self, service: &str, apply: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let mut retry_budgets = lock(&self.retry_budgets);
-        if let Some(budget) = retry_budgets.get_mut(service) {
-            return apply(budget);
-        }
-        let budget = RetryBudget::new(self.settings.retry_limits);
-        apply(retry_budgets.entry(service.into()).or_insert(budget))
+    /// Records a request for a service in its retry budget and in the load that this process reports.
+    pub fn record_service_request(&self, service: &str) {
+        let now = self.now();
+        self.load_tracker().record_request(name_hash(service), now);
+        self.retry_budgets(service).record_request(service, now);
     }
 
     /// Returns the time between two requests of this process to a cold target, or `None` if it may send none.
@@ -424,6 +437,7 @@
         let now = self.now();
         let deployment_state = self.deployment_state();
         self.fleet().sync(&deployment_state, now);
+        self.room_notifier.wake_all();
     }
 
     /// Publishes the revision of the deployment state if it changed, which wakes the replies to followers
@@ -453,7 +467,9 @@
         };
         lock(&self.route_latencies).retain(|name, _| has_route(name));
         lock(&self.wait_time_estimators).retain(|name, _| has_route(name));
-        lock(&self.retry_budgets).retain(|name, _| route_table.service(name).is_some());
+        let has_service = |name: &str| route_table.service(name).is_some();
+        self.retry_budgets.retain(has_service);
+        self.room_notifier.retain(has_service);
     }
 
     /// Counts a new caller connection.
--- a/crates/limpet-gateway/src/target/cold_rate_limiter.rs
+++ b/crates/limpet-gateway/src/target/cold_rate_limiter.rs
@@ -40,6 +40,13 @@
             .is_none_or(|sent_at| now >= sent_at.saturating_add(send_interval))
     }
 
+    /// Returns the time from which on another request may be sent to the cold target, at the latest when it is warm.
+    pub fn next_request_at(&self, send_interval: Option<Duration>) -> Duration {
+        let next = send_interval
+            .and_then(|send_interval| Some(self.sent_at?.saturating_add(send_interval)));
+        next.unwrap_or(self.cold_until).min(self.cold_until)
+    }
+
     /// Records a request that is sent while the target is cold.
     pub fn record_request(&mut self, now: Duration) {
         if self.is_cold(now) {
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -156,6 +156,11 @@
         }
     }
 
+    /// Returns the targets of a service.
+    pub(super) fn targets(&self, service: &str) -> &[Arc<Target>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns the target with this id.
     pub fn get(&self, id: &str) -> Option<Arc<Target>> {
         self.by_id.get(id).cloned()
--- a/crates/limpet-gateway/src/target/mod.rs
+++ b/crates/limpet-gateway/src/target/mod.rs
@@ -6,6 +6,7 @@
 mod connection_pool;
 mod fleet;
 mod one_target;
+mod room_notifier;
 mod target_health;
 mod target_reply;
 
@@ -30,6 +31,11 @@
         InFlightGuard,
         Target, //
     },
+    room_notifier::{
+        RoomGuard,
+        RoomNotifier,
+        ServiceRoom, //
+    },
     target_health::TargetHealth,
     target_reply::TargetReply, //
 };
