--- /dev/null
+++ b/crates/limpet-gateway/src/query/asked_targets.rs
@@ -0,0 +1,78 @@
+//! Targets that were asked to run a request.
+
+use std::time::Duration;
+
+use limpet_types::deployment::TargetId;
+
+/// Time after which a target that rejected a request may be asked for the same request again; doubled by each further
+/// rejection.
+const ASK_AGAIN_DELAY: Duration = Duration::from_millis(50);
+/// Maximum number of times that this delay is doubled.
+const DOUBLINGS_MAX: u32 = 4;
+
+/// A target that did not run the request.
+#[derive(Debug)]
+struct RejectedTarget {
+    id: TargetId,
+    rejection_count: u32,
+    /// Time from which on the target may be asked again if no other one is left.
+    ask_again_at: Duration,
+}
+
+/// Targets of one service that were asked to run a request.
+#[derive(Debug, Default)]
+pub(super) struct AskedTargets {
+    /// Targets that are not asked again: most may run or may have run the request.
+    asked: Vec<TargetId>,
+    rejected: Vec<RejectedTarget>,
+}
+
+impl AskedTargets {
+    /// Records that a target is asked.
+    pub(super) fn record_attempt(&mut self, id: &TargetId) {
+        self.asked.push(id.clone());
+    }
+
+    /// Records that a target did not run the request, so that it may be asked again later.
+    pub(super) fn record_rejection(&mut self, id: &TargetId, now: Duration) {
+        self.asked.retain(|asked| asked != id);
+        let mut known = self.rejected.iter_mut();
+        match known.find(|rejected| rejected.id == *id) {
+            Some(rejected) => {
+                rejected.rejection_count += 1;
+                let doublings = rejected.rejection_count.min(DOUBLINGS_MAX);
+                rejected.ask_again_at = now + ASK_AGAIN_DELAY * (1 << doublings);
+            }
+            None => self.rejected.push(RejectedTarget {
+                id: id.clone(),
+                rejection_count: 0,
+                ask_again_at: now + ASK_AGAIN_DELAY,
+            }),
+        }
+    }
+
+    /// Returns the target of the latest attempt that may run.
+    pub(super) fn latest(&self) -> Option<&TargetId> {
+        self.asked.last()
+    }
+
+    /// Returns whether a target may be asked again at some time.
+    pub(super) const fn has_rejected(&self) -> bool {
+        !self.rejected.is_empty()
+    }
+
+    /// Returns the earliest later time at which a target may be asked again.
+    pub(super) fn next_ask_at(&self, now: Duration) -> Option<Duration> {
+        let times = self.rejected.iter().map(|rejected| rejected.ask_again_at);
+        times.filter(|ask_again_at| *ask_again_at > now).min()
+    }
+
+    /// Returns the targets that may not be asked at present: with `includes_rejected` all that rejected the request,
+    /// else only those that may not be asked again yet.
+    pub(super) fn excluded(&self, includes_rejected: bool, now: Duration) -> Vec<TargetId> {
+        let rejected = self.rejected.iter();
+        let rejected = rejected.filter(|entry| includes_rejected || entry.ask_again_at > now);
+        let rejected = rejected.map(|entry| entry.id.clone());
+        rejected.chain(self.asked.iter().cloned()).collect()
+    }
+}
--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -4,6 +4,7 @@
 //! target, or at one target of each shard.
 
 mod aggregation;
+mod asked_targets;
 mod attempt;
 mod attempt_wait;
 mod crash_check;
@@ -14,6 +15,8 @@
 mod query_context;
 mod scatter_gather;
 mod service_attempts;
+mod service_error;
+mod service_targets;
 mod split;
 
 pub use self::{
--- a/crates/limpet-gateway/src/query/scatter_gather.rs
+++ b/crates/limpet-gateway/src/query/scatter_gather.rs
@@ -18,13 +18,15 @@
 };
 
 use super::{
-    Answer, Outcome, QueryContext, RequestError, RequestErrorKind,
+    Answer,
+    Outcome,
+    QueryContext,
+    RequestError,
+    RequestErrorKind,
     gather_progress::GatherProgress,
     greatest_records,
-    service_attempts::{
-        ServiceAttempts,
-        ServiceError, //
-    },
+    service_attempts::ServiceAttempts,
+    service_error::ServiceError, //
 };
 use crate::target::TargetReply;
 
--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -19,7 +19,6 @@
     },
     gather::HedgeTiming,
 };
-use limpet_types::deployment::TargetId;
 use tokio::time::{
     Instant,
     sleep_until,
@@ -31,7 +30,12 @@
     RequestErrorKind,
     attempt::run_attempt,
     attempt_wait::AttemptWait,
-    gather_progress::GatherProgress, //
+    gather_progress::GatherProgress,
+    service_error::{
+        ServiceError,
+        TIMED_OUT, //
+    },
+    service_targets::ServiceTargets, //
 };
 use crate::target::{
     AttemptError,
@@ -39,19 +43,13 @@
     RoomGuard,
     ServiceRoom,
     Target,
-    TargetCriteria,
     TargetReply, //
 };
 
-/// Longest time for which a request waits for paused targets, as a fraction of the latency goal of the route.
-const PAUSE_GOAL_FRACTION: f64 = 0.25;
 /// Time before the deadline at which no attempt is started any more.
 const ATTEMPT_TIME_MIN: Duration = Duration::from_millis(8);
 /// Fraction of the latency goal within which a request that has not run anywhere is refused if no target takes it.
 const REFUSAL_GOAL_FRACTION: f64 = 0.25;
-/// Time after which a target that rejected a request may be asked for the same request again; doubled by each further
-/// rejection.
-const ASK_AGAIN_DELAY: Duration = Duration::from_millis(50);
 /// How long the remaining attempts may run on after the first reply, because a connection is reusable only
 /// after a complete reply.
 const DETACHED_ATTEMPTS_TIMEOUT: Duration = Duration::from_millis(150);
@@ -59,24 +57,6 @@
 /// Cause of a hedge in logs and metrics.
 const HEDGE_CAUSE: &str = "straggler";
 
-/// Why no attempt at a service succeeded.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ServiceError {
-    /// Kind of error for the caller.
-    pub(super) kind: RequestErrorKind,
-    /// Whether the request is known not to have run on any target of the service.
-    pub(super) is_not_run: bool,
-    /// Time after which a target of the service wants requests again, if that is known.
-    pub(super) retry_after: Option<Duration>,
-}
-
-/// The deadline passed; a target may still run the request.
-const TIMED_OUT: ServiceError = ServiceError {
-    kind: RequestErrorKind::TimedOut,
-    is_not_run: false,
-    retry_after: None,
-};
-
 /// An attempt in flight; resolves to its target and its result.
 type AttemptFuture =
     Pin<Box<dyn Future<Output = (Arc<Target>, Result<TargetReply, AttemptError>)> + Send>>;
@@ -103,15 +83,6 @@
     Impossible,
 }
 
-/// A target that did not run the request.
-#[derive(Debug)]
-struct RejectedTarget {
-    id: TargetId,
-    rejection_count: u32,
-    /// Time from which on the target may be asked again if no other one is left.
-    ask_again_at: Duration,
-}
-
 /// All attempts of one query at one service, with the rules for retries and hedges.
 pub(super) struct ServiceAttempts {
     query: Arc<QueryContext>,
@@ -121,9 +92,7 @@
     /// Index of the part in the query.
     part: usize,
     started_at: Instant,
-    /// Targets that may run or may have run the request.
-    tried_targets: Vec<TargetId>,
-    rejected_targets: Vec<RejectedTarget>,
+    targets: ServiceTargets,
     /// Number of attempts that may run or may have run.
     counted_attempts: u32,
     /// Number of attempts that may have reached a target.
@@ -155,13 +124,11 @@
         query.shared.record_service_request(service);
         Self {
             room: query.shared.room_notifier.service(service),
-            query,
             service: service.into(),
             progress: Arc::clone(progress),
             part,
             started_at: Instant::now(),
-            tried_targets: Vec::new(),
-            rejected_targets: Vec::new(),
+            targets: ServiceTargets::new(Arc::clone(&query), service),
             counted_attempts: 0,
             arrived_attempts: 0,
             may_have_run: false,
@@ -170,6 +137,7 @@
             wanted: Some(Wanted::First),
             wait: AttemptWait::default(),
             hedge_from: None,
+            query,
         }
     }
 
@@ -183,7 +151,7 @@
             tracing::info!(
                 request_id = self.query.request_id(), service = %self.service,
                 reason = error.kind.label(), not_run = error.is_not_run,
-                tried = ?self.tried_targets, rejected = ?self.rejected_targets,
+                asked = ?self.targets.asked,
                 left_ms = self.query.time_left().as_millis(),
                 "no attempt at the service succeeded"
             );
@@ -231,7 +199,10 @@
                 self.wait.clear();
             }
             None if !is_over => {
-                self.record_straggler();
+                let waited = self
+                    .hedge_from
+                    .map_or(Duration::ZERO, |from| from.elapsed());
+                self.targets.record_straggler(waited);
                 self.wanted = Some(Wanted::Hedge);
             }
             None => {}
@@ -267,7 +238,8 @@
                     self.progress.record_not_run();
                     // Another target at the address rejects the request however often it is asked.
                     if error.kind != AttemptErrorKind::WrongTarget {
-                        self.record_rejection(target);
+                        let now = self.query.shared.now();
+                        self.targets.asked.record_rejection(&target.id, now);
                     }
                 }
                 if !error.kind.may_have_arrived() {
@@ -287,25 +259,6 @@
         None
     }
 
-    /// Notes that a target did not run the request, so that it may be asked again later.
-    fn record_rejection(&mut self, target: &Target) {
-        self.tried_targets.retain(|id| *id != target.id);
-        let now = self.query.shared.now();
-        let mut known = self.rejected_targets.iter_mut();
-        match known.find(|rejected| rejected.id == target.id) {
-            Some(rejected) => {
-                rejected.rejection_count += 1;
-                let delay = ASK_AGAIN_DELAY * (1 << rejected.rejection_count.min(4));
-                rejected.ask_again_at = now + delay;
-            }
-            None => self.rejected_targets.push(RejectedTarget {
-                id: target.id.clone(),
-                rejection_count: 0,
-                ask_again_at: now + ASK_AGAIN_DELAY,
-            }),
-        }
-    }
-
     /// Tries to start the attempt that is wanted.
     fn advance(&mut self, wanted: Wanted) -> Result<(), ServiceError> {
         match self.try_start(wanted) {
@@ -413,30 +366,16 @@
             return self.try_start(wanted);
         }
         self.wait.pass_on();
-        let shared = &self.query.shared;
-        let now = shared.now();
-        let (has_other_target, next_allowed_at) = self.with_criteria(false, true, |criteria| {
-            let fleet = shared.fleet();
-            (
-                fleet.has_other_target(criteria, now),
-                fleet.next_allowed_at(criteria, now),
-            )
-        });
-        let next_ask_at = self
-            .rejected_targets
-            .iter()
-            .map(|rejected| rejected.ask_again_at)
-            .filter(|ask_again_at| !has_other_target && *ask_again_at > now)
-            .min();
-        let wake_at = next_ask_at.into_iter().chain(next_allowed_at).min();
-        self.wait
-            .wake_after(wake_at.map(|wake_at| wake_at.saturating_sub(now)));
+        let outlook = self.targets.outlook();
+        self.wait.wake_after(outlook.next_in);
         let may_come = match wanted {
-            Wanted::First => !self.is_paused(),
+            Wanted::First => !self.targets.is_paused(),
             Wanted::Retry(_) => {
-                has_other_target || !self.rejected_targets.is_empty() || wake_at.is_some()
+                outlook.has_other_target
+                    || self.targets.asked.has_rejected()
+                    || outlook.next_in.is_some()
             }
-            Wanted::Hedge => has_other_target,
+            Wanted::Hedge => outlook.has_other_target,
         };
         match may_come {
             true => Start::Waiting,
@@ -444,14 +383,6 @@
         }
     }
 
-    /// Returns whether no target accepts requests, or all want none for too long.
-    fn is_paused(&self) -> bool {
-        let shared = &self.query.shared;
-        let pause = shared.fleet().shortest_pause(&self.service, shared.now());
-        pause
-            .is_none_or(|pause| pause >= self.query.route.latency_goal.mul_f64(PAUSE_GOAL_FRACTION))
-    }
-
     /// Returns the time until which a wanted attempt waits.
     ///
     /// A late part is hardly worth the room that it takes, and a request that ran nowhere should be refused early.
@@ -484,33 +415,11 @@
 
     /// Starts an attempt; returns false if no target has room.
     ///
-    /// A target that rejected the request is asked again only if no other accepts requests. A hedge needs a target with
-    /// a free slot, because under load it would only lengthen the queues.
+    /// A hedge needs a target with a free slot, because under load it would only lengthen the queues.
     fn start_attempt(&mut self, wanted: Wanted) -> bool {
-        let shared = Arc::clone(&self.query.shared);
-        let now = shared.now();
-        let needs_free_slot = wanted == Wanted::Hedge;
-        let picked = self.with_criteria(needs_free_slot, true, |criteria| {
-            let fleet = shared.fleet();
-            let limit = criteria.connections_limit();
-            match fleet.pick(criteria, now) {
-                Some(target) => Ok((target, limit)),
-                None => Err(fleet.has_other_target(criteria, now)),
-            }
-        });
-        let picked = match picked {
-            Err(false) if !self.rejected_targets.is_empty() => {
-                self.with_criteria(needs_free_slot, false, |criteria| {
-                    let target = shared.fleet().pick(criteria, now)?;
-                    Some((target, criteria.connections_limit()))
-                })
-            }
-            picked => picked.ok(),
-        };
-        let Some((target, connections_limit)) = picked else {
+        let Some((target, connections_limit)) = self.targets.pick(wanted == Wanted::Hedge) else {
             return false;
         };
-        self.tried_targets.push(target.id.clone());
         self.counted_attempts += 1;
         self.arrived_attempts += 1;
         let may_try_again = self.counted_attempts < self.query.route.attempts_max;
@@ -525,43 +434,6 @@
         true
     }
 
-    /// Calls `apply` with the criteria for the target of the next attempt.
-    ///
-    /// Targets that rejected the request are excluded, all of them or only those that may not be asked again yet.
-    fn with_criteria<T>(
-        &self,
-        needs_free_slot: bool,
-        excludes_all_rejected: bool,
-        apply: impl FnOnce(&TargetCriteria<'_>) -> T,
-    ) -> T {
-        let query = &self.query;
-        let shared = &query.shared;
-        let now = shared.now();
-        let service = query.route_table.service(&self.service);
-        let process_count = shared.rate_limiter().process_counts().total;
-        let cold_rate_per_s = service.map_or(0.0, |service| service.cold_rate_per_s);
-        let cold_send_interval =
-            |target: &Target| shared.cold_send_interval(target, cold_rate_per_s);
-        let rejected = self.rejected_targets.iter();
-        let rejected =
-            rejected.filter(|rejected| excludes_all_rejected || rejected.ask_again_at > now);
-        let rejected = rejected.map(|rejected| rejected.id.clone());
-        let excluded: Vec<TargetId> = rejected.chain(self.tried_targets.iter().cloned()).collect();
-        apply(&TargetCriteria {
-            service: &self.service,
-            zone: &shared.settings.zone,
-            tried_targets: &excluded,
-            connections_max: service.map_or(1, |service| service.connections_max),
-            cold_send_interval: match cold_rate_per_s > 0.0 {
-                true => Some(&cold_send_interval),
-                false => None,
-            },
-            needs_free_slot,
-            process_count,
-            aggregator_count: query.aggregator_count,
-        })
-    }
-
     /// Returns when the next hedge may be sent, or `None` if none is allowed.
     fn hedge_at(&self) -> Option<Instant> {
         let route = &self.query.route;
@@ -578,28 +450,12 @@
         Some(hedge_from + timing.delay(self.progress.is_at_last_parts()))
     }
 
-    /// Records that the latest attempt takes long.
-    fn record_straggler(&self) {
-        let shared = &self.query.shared;
-        let mean_latency =
-            shared.with_route_latency(&self.query.route.name, |latency| latency.mean());
-        let waited = self
-            .hedge_from
-            .map_or(Duration::ZERO, |from| from.elapsed());
-        if let Some(id) = self.tried_targets.last()
-            && let Some(target) = shared.fleet().get(id)
-        {
-            let now = shared.now();
-            target.health().record_straggler(waited, mean_latency, now);
-        }
-    }
-
     /// Returns the error of a request that no target can get.
     fn no_target_error(&self) -> ServiceError {
         ServiceError {
             kind: RequestErrorKind::NoTarget,
             is_not_run: true,
-            retry_after: self.pause_left(),
+            retry_after: self.targets.pause_left(),
         }
     }
 
@@ -621,13 +477,6 @@
         });
     }
 
-    /// Returns how long no target of the service wants a request, if that is so.
-    fn pause_left(&self) -> Option<Duration> {
-        let shared = &self.query.shared;
-        let pause = shared.fleet().shortest_pause(&self.service, shared.now());
-        pause.filter(|pause| !pause.is_zero())
-    }
-
     /// Returns the result after the last attempt has failed: the latest error reply of a target, or an error
     /// if there was none.
     fn final_result(&mut self) -> Result<TargetReply, ServiceError> {
@@ -643,7 +492,7 @@
             None => Err(ServiceError {
                 kind: RequestErrorKind::Shed,
                 is_not_run: true,
-                retry_after: self.pause_left(),
+                retry_after: self.targets.pause_left(),
             }),
         }
     }
