--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -6,8 +6,11 @@
 mod admission;
 mod admission_state;
 mod aggregation;
+mod asked_targets;
 mod attempt;
+mod attempt_wait;
 mod crash_check;
+mod gather_progress;
 mod merge;
 mod outcome;
 mod placed_gather;
@@ -15,6 +18,8 @@
 mod run_statistics;
 mod scatter_gather;
 mod service_attempts;
+mod service_error;
+mod service_targets;
 mod split;
 
 pub use self::{
