Choose targets by own and reported load in large fleets

Cause: with 86 processes, each sends a request of a single-lookup service every three seconds, so own observations say nothing: the busiest target got 1.5 to 1.8 times the mean. Processes also asked targets that had just rejected as full.

Change: Fleet::pick gives limpet-decide::balance a candidate for each target. Targets that pause and rejections that others report cost more. A process reports a change at once within the rate of the regular reports, and a load without changes half as often.

--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! process that makes the decision.
 
 pub mod aggregator;
+pub mod balance;
 pub mod cold_share;
 pub mod fair;
 pub mod freshness;
--- a/crates/limpet-decide/src/peer_load/load_tracker.rs
+++ b/crates/limpet-decide/src/peer_load/load_tracker.rs
@@ -26,6 +26,11 @@
 /// Rates below this are not reported: one request in ten seconds.
 const RATE_MIN_PER_10_S: u16 = 1;
 
+/// Number of report periods after which a load without changes is reported again.
+const REFRESH_PERIODS: u32 = 2;
+/// Largest number of reports for which a process may save its periods.
+const SAVED_REPORTS_MAX: u32 = 3;
+
 /// Requests of this process to one target.
 #[derive(Clone, Copy, Debug)]
 struct TargetRates {
@@ -58,8 +63,12 @@
     reported_rates: HashMap<NameHash, f64>,
     sequence: u32,
     reported_at: Option<Duration>,
-    /// Shortest time between two reports.
+    /// Mean time between two reports at most changes.
     report_period: Duration,
+    /// Time that has not been used for reports; a report uses a period.
+    saved_time: Duration,
+    /// Whether a request was sent or rejected, or the gathers changed, since the latest report.
+    has_changed: bool,
     /// Whether the latest report said anything; one more is sent after it so that the load ends with the peers too.
     was_loaded: bool,
 }
@@ -74,6 +83,8 @@
             sequence: 0,
             reported_at: None,
             report_period: LOAD_REPORT_PERIOD,
+            saved_time: Duration::ZERO,
+            has_changed: false,
             was_loaded: false,
         }
     }
@@ -86,7 +97,8 @@
     }
 
     /// Sets the scatter-gather queries of this process.
-    pub const fn set_gathers(&mut self, gathers: GatherLoad) {
+    pub fn set_gathers(&mut self, gathers: GatherLoad) {
+        self.has_changed |= self.gathers != gathers;
         self.gathers = gathers;
     }
 
@@ -95,7 +107,8 @@
         self.gathers
     }
 
-    /// Sets the shortest time between two reports; it is at least [`LOAD_REPORT_PERIOD`].
+    /// Sets the time between two reports of a process whose load changes all the time; it is at least
+    /// [`LOAD_REPORT_PERIOD`]. A process with few changes reports them sooner, and otherwise less often.
     pub fn set_report_period(&mut self, period: Duration) {
         self.report_period = period.max(LOAD_REPORT_PERIOD);
     }
@@ -108,6 +121,7 @@
     /// Records a request that is sent to a target; [`LoadTracker::record_end`] must follow.
     pub fn record_send(&mut self, target: NameHash, now: Duration) {
         let rates = self.targets.entry(target).or_default();
+        self.has_changed = true;
         rates.in_flight += 1;
         rates.sent.record(1.0, now);
         rates.sent_lately.record(1.0, now);
@@ -124,6 +138,7 @@
     pub fn record_rejection(&mut self, target: NameHash, now: Duration) {
         let rates = self.targets.entry(target).or_default();
         rates.rejected.record(1.0, now);
+        self.has_changed = true;
     }
 
     /// Returns the rate of requests for a service that the latest report stated, in requests per second.
@@ -138,10 +153,7 @@
         addr: SocketAddr,
         now: Duration,
     ) -> Option<LoadReport> {
-        let is_due = self
-            .reported_at
-            .is_none_or(|reported_at| now.saturating_sub(reported_at) >= self.report_period);
-        if !is_due {
+        if !self.is_due(now) {
             return None;
         }
         let services = self.used_services(now);
@@ -159,7 +171,9 @@
         if !says_something {
             return None;
         }
+        self.saved_time = self.time_saved(now).saturating_sub(self.report_period);
         self.reported_at = Some(now);
+        self.has_changed = false;
         self.sequence = self.sequence.wrapping_add(1);
         Some(LoadReport {
             node,
@@ -171,6 +185,25 @@
         })
     }
 
+    /// Returns whether a report is due if there is something to say.
+    ///
+    /// A process that sends a request every few seconds reports it at once, within the bytes of regular reports: the
+    /// others even out the load the better the sooner they hear of it.
+    fn is_due(&self, now: Duration) -> bool {
+        let Some(reported_at) = self.reported_at else {
+            return true;
+        };
+        let age = now.saturating_sub(reported_at);
+        let may_report = age >= LOAD_REPORT_PERIOD && self.time_saved(now) >= self.report_period;
+        may_report && (self.has_changed || age >= self.report_period * REFRESH_PERIODS)
+    }
+
+    /// Returns the time that has not been used for reports.
+    fn time_saved(&self, now: Duration) -> Duration {
+        let age = now.saturating_sub(self.reported_at.unwrap_or_default());
+        (self.saved_time + age).min(self.report_period * SAVED_REPORTS_MAX)
+    }
+
     /// Returns the services with the highest rates; forgets those without requests.
     fn used_services(&mut self, now: Duration) -> Vec<ServiceUse> {
         self.requests
@@ -216,13 +249,11 @@
 }
 
 impl TargetRates {
-    /// Returns the share of the recent requests that the target rejected, in 255ths.
+    /// Returns the share of the recent requests that the target rejected, in 255ths. It falls while there are none:
+    /// one request that was rejected says little after some seconds.
     fn rejected_255ths(&self, now: Duration) -> u8 {
-        let sent = self.sent_lately.weight_at(now);
-        let share = match sent > 0.0 {
-            true => (self.rejected.weight_at(now) / sent).min(1.0),
-            false => 0.0,
-        };
+        let sent = self.sent_lately.weight_at(now).max(1.0);
+        let share = (self.rejected.weight_at(now) / sent).min(1.0);
         (share * f64::from(u8::MAX)).round() as u8
     }
 }
--- a/crates/limpet-gateway/src/members/load_reports.rs
+++ b/crates/limpet-gateway/src/members/load_reports.rs
@@ -119,8 +119,10 @@
         is_recorded.then_some(()).ok_or("outdated")
     }
 
-    /// Forgets the load of processes that no longer report it.
-    pub(super) fn forget_outdated_loads(&self) {
+    /// Forgets the load of processes that no longer report it, and passes the rest to the targets.
+    ///
+    /// A round of the exchange does this, not each choice of a target: the sums over all reports cost too much for that.
+    pub(super) fn apply_reported_loads(&self) {
         let now = self.shared.now();
         let stopped = self.shared.peer_loads().remove_outdated(now);
         for _ in &stopped {
@@ -135,6 +137,8 @@
                 "load reports of processes stopped, their load is no longer considered"
             );
         }
+        let loads = self.shared.peer_loads().target_loads(now);
+        self.shared.fleet().set_reported_loads(&loads, now);
     }
 }
 
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -60,7 +60,8 @@
     connections_limit: usize,
 ) -> Result<TargetReply, AttemptError> {
     let shared = &query.shared;
-    let in_flight = InFlightGuard::new(shared, target);
+    let mean_latency = shared.with_route_latency(&query.route.name, |latency| latency.mean());
+    let in_flight = InFlightGuard::new(shared, target, mean_latency);
     let mut timer = AttemptTimer::new(query, target);
     let result = exchange(query, target, connections_limit).await;
     let (latency, now) = timer.stop();
@@ -70,12 +71,21 @@
             .strike_table()
             .record_query_success(query.fingerprint, now);
     }
+    let has_reply = match &result {
+        Ok(_) => true,
+        Err(error) => error.kind.is_reply(),
+    };
+    if has_reply {
+        in_flight.record_reply(now);
+    }
     match &result {
         Ok(reply) if reply.status.is_server_error() => {
+            in_flight.record_accepted(false, now);
             target.health().record_failure(now);
         }
         Ok(_) => {
-            target.health().record_success(latency, mean_latency, now);
+            let was_ejected = target.health().record_success(latency, mean_latency, now);
+            in_flight.record_accepted(was_ejected, now);
             shared.with_route_latency(&query.route.name, |statistics| statistics.record(latency));
         }
         Err(error) => {
--- a/crates/limpet-gateway/src/target/attempt_error.rs
+++ b/crates/limpet-gateway/src/target/attempt_error.rs
@@ -46,6 +46,14 @@
         )
     }
 
+    /// Returns whether the target replied.
+    pub const fn is_reply(self) -> bool {
+        matches!(
+            self,
+            Self::NotRun | Self::UncertainRefusal | Self::WrongTarget | Self::MismatchedReply
+        )
+    }
+
     /// Returns the label used in logs and metrics.
     pub const fn label(self) -> &'static str {
         match self {
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -6,19 +6,25 @@
     time::Duration, //
 };
 
-use limpet_types::deployment::TargetId;
+use limpet_decide::{
+    balance::{
+        Availability,
+        Candidate,
+        View,
+        choose, //
+    },
+    peer_load::ReportedTargetLoad,
+    spread::DIRECT_PROCESSES_MAX,
+};
+use limpet_types::{
+    deployment::TargetId,
+    message::NameHash, //
+};
 use rand::Rng;
 
 use super::Target;
 use crate::deployment_state::DeploymentState;
 
-/// Added cost of a target in another zone, relative to a request of mean latency.
-const CROSS_ZONE_COST: f64 = 0.35;
-/// Added cost of a cold target, relative to a request of mean latency.
-const COLD_COST: f64 = 0.6;
-/// Largest random increase of the cost, as a fraction of it, so that processes do not all pick the same
-/// target.
-const COST_JITTER: f64 = 0.3;
 /// Fraction of a target's connection limit that all processes together use. The rest is headroom for closed
 /// connections that the target still counts.
 const USABLE_CONNECTIONS_FRACTION: f64 = 0.85;
@@ -69,6 +75,55 @@
         (share.max(aggregator_share) as usize).max(1)
     }
 
+    /// Returns what the choice depends on for one target.
+    fn candidate(&self, target: &Target, connections_limit: usize, now: Duration) -> Candidate {
+        let (load, rejected_share) = {
+            let load = target.load();
+            (
+                Candidate::new(&load, target.slots, now),
+                load.reported_rejected_share(now),
+            )
+        };
+        if !target.allows_request(now) {
+            return Candidate {
+                availability: Availability::Excluded,
+                slots: 0.0,
+                own_requests: 0.0,
+                reported_requests: 0.0,
+                ..load
+            };
+        }
+        let in_flight_count = target.in_flight_count();
+        let has_capacity = (in_flight_count as usize) < connections_limit
+            && (!self.needs_free_slot || in_flight_count < target.slots);
+        let availability =
+            if self.tried_targets.contains(&target.id) || !self.allows_cold_request(target, now) {
+                Availability::Excluded
+            } else if has_capacity {
+                Availability::Free
+            } else {
+                Availability::Busy
+            };
+        // A small fleet decides on own observations.
+        let rejected_share = match self.process_count > DIRECT_PROCESSES_MAX {
+            true => rejected_share,
+            false => 0.0,
+        };
+        let (health_cost, is_ejected) = {
+            let health = target.health();
+            (health.cost(rejected_share, now), health.is_ejected(now))
+        };
+        Candidate {
+            availability,
+            health_cost,
+            is_ejected,
+            is_own_zone: *target.zone == *self.zone,
+            is_cold: target.cold_rate_limiter().is_cold(now),
+            own_in_flight: f64::from(in_flight_count),
+            ..load
+        }
+    }
+
     /// Returns whether this process may send a request to a target now as far as its warm-up goes.
     fn allows_cold_request(&self, target: &Target, now: Duration) -> bool {
         let Some(send_interval) = self.cold_send_interval else {
@@ -96,6 +151,8 @@
     by_service: HashMap<Box<str>, Vec<Arc<Target>>>,
     /// Targets that are gone and whose notices are in force: the same incarnation may return.
     gone_with_notices: HashMap<TargetId, Arc<Target>>,
+    /// Candidates of the latest choice; kept so that a choice allocates nothing.
+    candidates: Vec<Candidate>,
 }
 
 impl Fleet {
@@ -108,6 +165,8 @@
     /// targets that remain, and retires those that were removed, were restarted or got another address or
     /// service.
     pub fn sync(&mut self, deployment_state: &DeploymentState, now: Duration) {
+        // The targets that a process finds at its start have not just returned.
+        let is_first_sync = self.by_id.is_empty();
         let mut by_id = HashMap::new();
         let mut by_service: HashMap<Box<str>, Vec<Arc<Target>>> = HashMap::new();
         for (id, record) in deployment_state.targets() {
@@ -120,8 +179,13 @@
                 }
                 is_same_incarnation
             });
-            let target =
-                known_target.unwrap_or_else(|| Arc::new(Target::new(id.clone(), record, now)));
+            let target = known_target.unwrap_or_else(|| {
+                let target = Target::new(id.clone(), record, now);
+                if !is_first_sync {
+                    target.load().record_return(now);
+                }
+                Arc::new(target)
+            });
             target.update(record, deployment_state.is_zone_disabled(&target.zone), now);
             let service = by_service.entry(target.service.clone()).or_default();
             service.push(Arc::clone(&target));
@@ -161,49 +225,69 @@
         self.by_id.get(id).cloned()
     }
 
-    /// Picks the target with the lowest cost among those that meet the criteria, accept new requests and have
-    /// capacity; returns `None` if there is none.
+    /// Picks a target that meets the criteria, accepts new requests and has capacity; returns `None` if there is none.
     ///
-    /// The cost depends on latency, failure rate, load, zone and whether the target is cold. Ejected targets
-    /// are picked only if there is no other.
-    pub fn pick(&self, criteria: &TargetCriteria<'_>, now: Duration) -> Option<Arc<Target>> {
+    /// The choice depends on latency, failure rate, load, zone and whether the target is cold. Ejected targets
+    /// are picked only if there is no other, and targets that rejected a request as full are not picked for a while
+    /// if another one accepts requests, even if this process has no capacity there.
+    pub fn pick(&mut self, criteria: &TargetCriteria<'_>, now: Duration) -> Option<Arc<Target>> {
         let targets = self.by_service.get(criteria.service)?;
         let connections_limit = criteria.connections_limit();
-        let mut best: Option<(bool, f64, &Arc<Target>)> = None;
-        for target in targets {
-            let is_usable = target.allows_request(now)
-                && (target.in_flight_count() as usize) < connections_limit
-                && !criteria.tried_targets.contains(&target.id)
-                && (!criteria.needs_free_slot || target.in_flight_count() < target.slots)
-                && criteria.allows_cold_request(target, now);
-            if !is_usable {
-                continue;
-            }
-            let (is_ejected, health_cost) = {
-                let health = target.health();
-                (health.is_ejected(now), health.cost(now))
-            };
-            let load = f64::from(target.in_flight_count()) / f64::from(target.slots);
-            let mut cost = health_cost * (1.0 + load);
-            if *target.zone != *criteria.zone {
-                cost += CROSS_ZONE_COST;
-            }
-            if target.cold_rate_limiter().is_cold(now) {
-                cost += COLD_COST;
-            }
-            cost *= 1.0 + rand::rng().random_range(0.0..COST_JITTER);
-            let is_better = best.is_none_or(|(best_is_ejected, best_cost, _)| {
-                (is_ejected, cost) < (best_is_ejected, best_cost) //
-            });
-            if is_better {
-                best = Some((is_ejected, cost, target));
-            }
-        }
-        let (_, _, target) = best?;
+        self.candidates.clear();
+        self.candidates.extend(
+            targets
+                .iter()
+                .map(|target| criteria.candidate(target, connections_limit, now)),
+        );
+        let view = match criteria.process_count > DIRECT_PROCESSES_MAX {
+            true => View::Part,
+            false => View::Whole,
+        };
+        let mut rng = rand::rng();
+        let index = choose(&self.candidates, view, || rng.random_range(0.0..1.0))?;
+        let target = &targets[index];
         target.cold_rate_limiter().record_request(now);
         Some(Arc::clone(target))
     }
 
+    /// Applies the load that the other processes report.
+    pub fn set_reported_loads(&self, loads: &HashMap<NameHash, ReportedTargetLoad>, now: Duration) {
+        for target in self.by_id.values() {
+            let reported = loads.get(&target.id_hash).copied().unwrap_or_default();
+            target.load().set_reported(reported, now);
+        }
+    }
+
+    /// Returns for each service the ratio of the target with most recent requests to the mean, by own and reported
+    /// requests; 0 if there are none.
+    pub fn load_spreads(&self, now: Duration) -> impl Iterator<Item = (&str, f64)> {
+        self.by_service.iter().map(move |(service, targets)| {
+            let (mut sum, mut highest) = (0.0_f64, 0.0_f64);
+            for target in targets {
+                let load = target.load();
+                let requests = load.own_requests(now) + load.reported_requests(now);
+                sum += requests;
+                highest = highest.max(requests);
+            }
+            let spread = match sum > 0.0 {
+                true => highest * targets.len() as f64 / sum,
+                false => 0.0,
+            };
+            (&**service, spread)
+        })
+    }
+
+    /// Returns after which time the first target of a service that rejected a request may be asked again; `None` if
+    /// no target is in its backoff.
+    pub fn shortest_backoff(&self, service: &str, now: Duration) -> Option<Duration> {
+        let targets = self.by_service.get(service)?;
+        let staying = targets.iter().filter(|target| !target.is_leaving());
+        staying
+            .map(|target| target.load().backoff().time_left(now))
+            .filter(|time_left| !time_left.is_zero())
+            .min()
+    }
+
     /// Returns for each zone the share of the shards that have a target there that accepts new requests and is
     /// not ejected.
     pub fn shard_shares(&self, shards: &[Box<str>], now: Duration) -> Vec<(Box<str>, f64)> {
--- a/crates/limpet-gateway/src/target/one_target.rs
+++ b/crates/limpet-gateway/src/target/one_target.rs
@@ -14,6 +14,7 @@
 };
 
 use limpet_decide::{
+    balance::TargetLoad,
     peer_load::name_hash,
     target_notice::TargetNotices, //
 };
@@ -57,6 +58,7 @@
     /// Number of requests in flight from this process.
     in_flight_count: AtomicU32,
     health: Mutex<TargetHealth>,
+    load: Mutex<TargetLoad>,
     notices: Mutex<TargetNotices>,
     pool: Mutex<ConnectionPool>,
     cold_rate_limiter: Mutex<ColdRateLimiter>,
@@ -88,6 +90,7 @@
             is_leaving: AtomicBool::new(record.state == TargetState::Draining),
             in_flight_count: AtomicU32::new(0),
             health: Mutex::new(TargetHealth::default()),
+            load: Mutex::new(TargetLoad::new()),
             notices: Mutex::new(TargetNotices::new()),
             pool: Mutex::new(ConnectionPool::default()),
             cold_rate_limiter: Mutex::new(cold_rate_limiter),
@@ -142,6 +145,11 @@
         lock(&self.health)
     }
 
+    /// Locks the load of the target.
+    pub fn load(&self) -> MutexGuard<'_, TargetLoad> {
+        lock(&self.load)
+    }
+
     /// Locks the connection pool.
     pub fn pool(&self) -> MutexGuard<'_, ConnectionPool> {
         lock(&self.pool)
@@ -191,10 +199,15 @@
 }
 
 impl<'a> InFlightGuard<'a> {
-    /// Counts a request to `target` as in flight.
-    pub fn new(shared: &'a SharedState, target: &Arc<Target>) -> Self {
-        target.in_flight_count.fetch_add(1, Ordering::Relaxed);
+    /// Counts a request to `target` as in flight; `mean_latency` is that of its route.
+    pub fn new(
+        shared: &'a SharedState,
+        target: &Arc<Target>,
+        mean_latency: Option<Duration>,
+    ) -> Self {
         let now = shared.now();
+        target.in_flight_count.fetch_add(1, Ordering::Relaxed);
+        target.load().record_send(mean_latency, now);
         shared.load_tracker().record_send(target.id_hash, now);
         Self {
             shared,
@@ -202,8 +215,23 @@
         }
     }
 
+    /// Records that the target replied.
+    pub fn record_reply(&self, now: Duration) {
+        self.target.load().record_reply(now);
+    }
+
+    /// Records that the target ran the request, after an ejection or not.
+    pub fn record_accepted(&self, was_ejected: bool, now: Duration) {
+        let mut load = self.target.load();
+        load.record_accepted();
+        if was_ejected {
+            load.record_return(now);
+        }
+    }
+
     /// Records that the target rejected the request as full.
     pub fn record_rejection(&self, now: Duration) {
+        self.target.load().record_rejection(rand::random(), now);
         let mut load_tracker = self.shared.load_tracker();
         load_tracker.record_rejection(self.target.id_hash, now);
     }
@@ -212,6 +240,7 @@
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
         self.target.in_flight_count.fetch_sub(1, Ordering::Relaxed);
+        self.target.load().record_end();
         self.shared.load_tracker().record_end(self.target.id_hash);
     }
 }
--- a/crates/limpet-gateway/src/target/target_health.rs
+++ b/crates/limpet-gateway/src/target/target_health.rs
@@ -42,18 +42,21 @@
 }
 
 impl TargetHealth {
-    /// Records a reply after `latency`, on a route with mean latency `mean_latency`, and ends an ejection.
+    /// Records a reply after `latency`, on a route with mean latency `mean_latency`, and ends an ejection; returns
+    /// whether the target had been ejected since its last reply.
     pub fn record_success(
         &mut self,
         latency: Duration,
         mean_latency: Option<Duration>,
         now: Duration,
-    ) {
+    ) -> bool {
         self.decay(now);
+        let was_ejected = self.unanswered_count >= EJECTION_THRESHOLD;
         self.unanswered_count = 0;
         self.ejected_until = Duration::ZERO;
         self.failure_rate *= 1.0 - SAMPLE_WEIGHT;
         self.update_relative_latency(latency, mean_latency);
+        was_ejected
     }
 
     /// Records an attempt that is still without a reply after `time_waited`, as if its latency were that
@@ -94,10 +97,13 @@
     }
 
     /// Returns the expected cost of a request to the target; 1 for a healthy target of mean latency.
-    pub fn cost(&self, now: Duration) -> f64 {
+    ///
+    /// `reported_rejected_share` is the share of rejections that other processes report; it counts like own failures.
+    pub fn cost(&self, reported_rejected_share: f64, now: Duration) -> f64 {
         let decay_factor = self.decay_factor(now);
         let relative_latency = 1.0 + (self.relative_latency - 1.0) * decay_factor;
-        relative_latency * (1.0 + FAILURE_COST_FACTOR * self.failure_rate * decay_factor)
+        let failure_rate = (self.failure_rate * decay_factor).max(reported_rejected_share);
+        relative_latency * (1.0 + FAILURE_COST_FACTOR * failure_rate)
     }
 
     /// Adds the latency of an attempt to the moving average; without a mean latency there is nothing to
