--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod aggregator;
 pub mod attempt_budget;
+pub mod balance;
 pub mod cold_share;
 pub mod fair;
 pub mod freshness;
