Keep full aggregators and count only members of the fleet

The capacity of processes that are gone kept others out of the set of aggregators, and in an overload late answers ejected one aggregator after the other.

--- a/crates/limpet-decide/src/aggregator/aggregator_load.rs
+++ b/crates/limpet-decide/src/aggregator/aggregator_load.rs
@@ -92,6 +92,11 @@
     pub fn load(&self) -> f64 {
         self.in_use / self.limit
     }
+
+    /// Returns whether no further query can run at once.
+    pub fn is_full(&self) -> bool {
+        self.in_use >= self.limit
+    }
 }
 
 /// Returns whether a query with this latency goal must not wait for so long.
--- a/crates/limpet-decide/src/aggregator/chooser.rs
+++ b/crates/limpet-decide/src/aggregator/chooser.rs
@@ -45,7 +45,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
     addr: SocketAddr,
-    cores: f64,
     load: AggregatorLoad,
 }
 
@@ -84,62 +83,81 @@
         let Some(home) = choose_home(directory, choice, draw) else {
             return Place::Here;
         };
-        self.update(directory, choice);
+        self.update(directory, choice, home);
         let is_own_home = is_primary(directory, choice, home);
         if is_own_home && own_load(directory, choice).is_some_and(|load| load < OWN_LOAD_LOW) {
             return Place::Here;
         }
+        if self.may_leave(home, choice.goal) {
+            self.update_others(directory, choice, home);
+        }
         let leaving_part = self.leaving_part(home, choice);
         let mut zones = Vec::new();
         if draw() < leaving_part {
             zones.extend(self.choose_other_zone(home, choice, draw));
         }
         zones.push(home);
-        for zone in zones {
-            let place = self.choose_in_zone(directory, choice, zone, draw);
-            if place != Place::AllBusy {
-                return place;
-            }
-        }
-        // No candidate of the zone is left: any other member of the extended set may run the query.
-        let mut others: Vec<&str> = directory.zones().filter(|zone| *zone != home).collect();
-        let free_of = |zone: &str| self.zones.get(zone).map_or(0.0, |load| load.free);
-        others.sort_by(|left, right| free_of(right).total_cmp(&free_of(left)));
-        let mut places = others
+        let mut place = zones
             .into_iter()
-            .map(|zone| self.choose_in_zone(directory, choice, zone, draw));
-        let place = places.find(|place| *place != Place::AllBusy);
+            .find_map(|zone| self.choose_in_zone(directory, choice, zone, draw));
+        if place.is_none() {
+            // No candidate of the zone is left: any other member of the extended set may run the query.
+            self.update_others(directory, choice, home);
+            let mut others: Vec<&str> = directory.zones().filter(|zone| *zone != home).collect();
+            let free_of = |zone: &str| self.zones.get(zone).map_or(0.0, |load| load.free);
+            others.sort_by(|left, right| free_of(right).total_cmp(&free_of(left)));
+            place = others
+                .into_iter()
+                .find_map(|zone| self.choose_in_zone(directory, choice, zone, draw));
+        }
         place.unwrap_or_else(|| match has_busy(directory, choice) {
             true => Place::AllBusy,
-            false => Place::Here,
+            false => choose_without_members(directory, choice, home),
         })
     }
 
-    /// Evaluates the load of the zones whose evaluation is due.
-    fn update(&mut self, directory: &AggregatorDirectory, choice: &AggregatorChoice<'_>) {
+    /// Evaluates the load of all zones except one, as far as it is due.
+    fn update_others(
+        &mut self,
+        directory: &AggregatorDirectory,
+        choice: &AggregatorChoice<'_>,
+        home: &str,
+    ) {
         let zones: Vec<&str> = directory.zones().collect();
         self.zones.retain(|zone, _| zones.contains(&&**zone));
-        for zone in zones {
-            let is_due = self
-                .zones
-                .get(zone)
-                .is_none_or(|load| load.is_due(choice.now));
-            if !is_due {
-                continue;
-            }
-            let member_count = directory.extended_count(zone, choice.shard_shares);
-            let loads: Vec<AggregatorLoad> = usable(directory, choice, zone)
-                .take(member_count)
-                .map(|addr| load_of(directory, choice, addr))
-                .collect();
-            let is_serving = serving_zones(choice.shard_shares).any(|serving| serving == zone);
-            let primary_count = match is_serving {
-                true => directory.primary_count(zone, choice.shard_shares),
-                false => member_count.min(1),
-            };
-            let state = self.zones.entry(zone.into()).or_default();
-            state.update(&loads, primary_count, choice.now);
+        for zone in zones.into_iter().filter(|zone| *zone != home) {
+            self.update(directory, choice, zone);
+        }
+    }
+
+    /// Evaluates the load of a zone if that is due.
+    fn update(
+        &mut self,
+        directory: &AggregatorDirectory,
+        choice: &AggregatorChoice<'_>,
+        zone: &str,
+    ) {
+        let state = self.zones.get(zone);
+        if state.is_some_and(|state| !state.is_due(choice.now)) {
+            return;
         }
+        let member_count = directory.extended_count(zone, choice.shard_shares);
+        let loads: Vec<AggregatorLoad> = members(directory, choice, zone)
+            .map(|addr| load_of(directory, choice, addr))
+            .collect();
+        let is_serving = serving_zones(choice.shard_shares).any(|serving| serving == zone);
+        let primary_count = match is_serving {
+            true => directory.primary_count(zone, choice.shard_shares),
+            false => member_count.min(1),
+        };
+        let state = self.zones.entry(zone.into()).or_default();
+        state.update(&loads, primary_count, choice.now);
+    }
+
+    /// Returns whether queries leave a zone or should do so.
+    fn may_leave(&self, home: &str, goal: Duration) -> bool {
+        let leaving_part = self.leaving_parts.get(&(home.into(), goal));
+        self.is_missing_goal(home, goal) || leaving_part.is_some_and(|state| state.part > 0.0)
     }
 
     /// Returns the part of the queries that leaves a zone, after an adjustment if one is due.
@@ -198,74 +216,77 @@
         draw_weighted(&weights, draw()).map(|index| rooms[index].0)
     }
 
-    /// Chooses one of the candidates of a zone; `AllBusy` if none may be asked.
+    /// Chooses one of the candidates of a zone; returns `None` if none may be asked.
     fn choose_in_zone(
         &self,
         directory: &AggregatorDirectory,
         choice: &AggregatorChoice<'_>,
         zone: &str,
         draw: &mut dyn FnMut() -> f64,
-    ) -> Place {
-        let member_count = directory.extended_count(zone, choice.shard_shares);
+    ) -> Option<Place> {
         let width = self.zones.get(zone).map_or(0, ZoneLoad::width);
         let widths = match choice.refused_by.is_empty() {
-            true => [width, member_count],
-            false => [member_count, member_count],
+            true => [width, usize::MAX],
+            false => [usize::MAX, usize::MAX],
         };
-        for width in widths {
-            let candidates: Vec<SocketAddr> = usable(directory, choice, zone)
-                .filter(|addr| !choice.refused_by.contains(addr))
+        widths.into_iter().find_map(|width| {
+            let candidates: Vec<SocketAddr> = members(directory, choice, zone)
                 .take(width)
+                .filter(|addr| !choice.refused_by.contains(addr))
                 .filter(|addr| *addr == choice.own_addr || !(choice.is_busy)(*addr))
                 .collect();
-            if let Some(place) = choose_of(directory, choice, &candidates, draw) {
-                return place;
-            }
-        }
-        Place::AllBusy
+            choose_of(directory, choice, &candidates, draw)
+        })
     }
 }
 
 /// Chooses one of the candidates; this process runs its query itself if it is one of them and not busier than the
-/// others. Returns `None` if there is no other.
+/// others. Returns `None` if there is no other and this process is full.
 fn choose_of(
     directory: &AggregatorDirectory,
     choice: &AggregatorChoice<'_>,
     candidates: &[SocketAddr],
     draw: &mut dyn FnMut() -> f64,
 ) -> Option<Place> {
-    let is_candidate = candidates.contains(&choice.own_addr);
-    let mut others: Vec<Candidate> = candidates
-        .iter()
-        .filter(|addr| **addr != choice.own_addr)
-        .map(|addr| {
-            let cores = cores_of(directory, *addr);
-            Candidate {
-                addr: *addr,
-                cores: cores.max(CORES_MIN),
-                load: (choice.load_of)(*addr, cores),
-            }
-        })
+    let others = candidates.iter().filter(|addr| **addr != choice.own_addr);
+    let mut others: Vec<(SocketAddr, f64)> = others
+        .map(|addr| (*addr, cores_of(directory, *addr)))
         .collect();
-    if is_candidate && choice.refused_by.is_empty() {
-        let loads = others.iter().map(|other| other.load.load());
-        let mean = loads.sum::<f64>() / others.len() as f64;
+    if others.len() < candidates.len() {
         let own = own_load(directory, choice).unwrap_or_default();
-        if others.is_empty() || own <= mean {
+        let loads = others
+            .iter()
+            .map(|(addr, cores)| (choice.load_of)(*addr, *cores).load());
+        let acceptable = match others.len() {
+            0 => LEAVE_ABOVE,
+            count => loads.sum::<f64>() / count as f64,
+        };
+        if own <= acceptable {
             return Some(Place::Here);
         }
     }
-    let first = draw_candidate(&mut others, draw())?;
-    let Some(second) = draw_candidate(&mut others, draw()) else {
+    let first = draw_candidate(&mut others, choice, draw())?;
+    let Some(second) = draw_candidate(&mut others, choice, draw()) else {
         return Some(Place::At(first.addr));
     };
     Some(Place::At(less_loaded(&first, &second, draw())))
 }
 
 /// Removes and returns one of the candidates at random, each in proportion to its capacity.
-fn draw_candidate(candidates: &mut Vec<Candidate>, draw: f64) -> Option<Candidate> {
-    let weights: Vec<f64> = candidates.iter().map(|candidate| candidate.cores).collect();
-    draw_weighted(&weights, draw).map(|index| candidates.swap_remove(index))
+fn draw_candidate(
+    candidates: &mut Vec<(SocketAddr, f64)>,
+    choice: &AggregatorChoice<'_>,
+    draw: f64,
+) -> Option<Candidate> {
+    let weights: Vec<f64> = candidates
+        .iter()
+        .map(|(_, cores)| cores.max(CORES_MIN))
+        .collect();
+    let (addr, cores) = candidates.swap_remove(draw_weighted(&weights, draw)?);
+    Some(Candidate {
+        addr,
+        load: (choice.load_of)(addr, cores),
+    })
 }
 
 /// Returns the first of two aggregators, or with a probability that grows with the difference of their loads and falls
@@ -316,19 +337,45 @@
     ranked.filter(|addr| *addr == choice.own_addr || (choice.is_usable)(*addr))
 }
 
+/// Returns the usable members of the extended set in a zone, this process included if it is one, in the order of their
+/// rank.
+fn members(
+    directory: &AggregatorDirectory,
+    choice: &AggregatorChoice<'_>,
+    zone: &str,
+) -> impl Iterator<Item = SocketAddr> {
+    let member_count = directory.extended_count(zone, choice.shard_shares);
+    let members = directory.ranked(zone).iter().copied().take(member_count);
+    members.filter(|addr| *addr == choice.own_addr || (choice.is_usable)(*addr))
+}
+
+/// Chooses where a query runs if no member of the extended set is usable: at the next processes in the ranking of the
+/// zone.
+fn choose_without_members(
+    directory: &AggregatorDirectory,
+    choice: &AggregatorChoice<'_>,
+    zone: &str,
+) -> Place {
+    let mut others =
+        usable(directory, choice, zone).filter(|addr| !choice.refused_by.contains(addr));
+    match others.next() {
+        Some(addr) if addr != choice.own_addr => Place::At(addr),
+        Some(_) | None => Place::Here,
+    }
+}
+
 /// Returns whether this process is a primary aggregator of a zone and has not refused the query.
 fn is_primary(directory: &AggregatorDirectory, choice: &AggregatorChoice<'_>, zone: &str) -> bool {
     let primary_count = directory.primary_count(zone, choice.shard_shares);
-    let mut primaries = usable(directory, choice, zone).take(primary_count);
+    let mut primaries = members(directory, choice, zone).take(primary_count);
     choice.refused_by.is_empty() && primaries.any(|addr| addr == choice.own_addr)
 }
 
 /// Returns whether another member of the extended set is usable but busy.
 fn has_busy(directory: &AggregatorDirectory, choice: &AggregatorChoice<'_>) -> bool {
     directory.zones().any(|zone| {
-        let member_count = directory.extended_count(zone, choice.shard_shares);
-        let mut members = usable(directory, choice, zone).take(member_count);
-        members.any(|addr| addr != choice.own_addr && (choice.is_busy)(addr))
+        members(directory, choice, zone)
+            .any(|addr| addr != choice.own_addr && (choice.is_busy)(addr))
     })
 }
 
--- a/crates/limpet-decide/src/aggregator/peer_ejection.rs
+++ b/crates/limpet-decide/src/aggregator/peer_ejection.rs
@@ -91,10 +91,13 @@
     }
 
     /// Records that an aggregator answered after the latency goal of the query, and ejects it if most of its answers
-    /// are late while the others answer in time. If theirs are late as well, it is the load, and without this
-    /// aggregator the others would be later still.
-    pub fn record_late(&mut self, aggregator: SocketAddr, now: Duration) {
+    /// are late while the others answer in time. If theirs are late as well, or `is_full` tells that it reports no free
+    /// place, it is the load, and without this aggregator the others would be later still.
+    pub fn record_late(&mut self, aggregator: SocketAddr, is_full: bool, now: Duration) {
         self.record_answer(aggregator, true, now);
+        if is_full {
+            return;
+        }
         let (mut in_time, mut late) = (0.0, 0.0);
         for (addr, answers) in &self.answers {
             let decay = answers.decay(now);
--- a/crates/limpet-decide/src/aggregator/zone_load.rs
+++ b/crates/limpet-decide/src/aggregator/zone_load.rs
@@ -11,6 +11,9 @@
 const UPDATE_PERIOD: Duration = Duration::from_millis(100);
 /// Mean load of the candidates above which more aggregators become candidates.
 const WIDEN_ABOVE: f64 = 0.7;
+/// Random variation of the queries in use that is allowed above that, as a multiple of the square root of their number:
+/// at a third of its limit, an aggregator of half a core reports over 0.7 in every twentieth report by chance.
+const VARIATION: f64 = 0.7;
 /// Mean load that the added candidates should lead to.
 const WIDEN_TO: f64 = 0.6;
 /// Mean load of the remaining candidates up to which one leaves.
@@ -81,7 +84,7 @@
     /// Adds candidates at once if their mean load is high, and removes a few at a time if it stays low.
     fn update_width(&mut self, loads: &[AggregatorLoad], primary_count: usize, now: Duration) {
         let candidates = &loads[..self.width.min(loads.len())];
-        if self.width < loads.len() && mean_load(candidates) > WIDEN_ABOVE {
+        if self.width < loads.len() && is_load_high(candidates) {
             let is_enough = |width: &usize| mean_load(&loads[..*width]) <= WIDEN_TO;
             self.width = (self.width + 1..loads.len())
                 .find(is_enough)
@@ -104,6 +107,13 @@
     }
 }
 
+/// Returns whether the mean load is high, and not only by chance.
+fn is_load_high(loads: &[AggregatorLoad]) -> bool {
+    let limit: f64 = loads.iter().map(|load| load.limit).sum();
+    let in_use: f64 = loads.iter().map(counted_in_use).sum();
+    in_use - VARIATION * in_use.sqrt() > limit * WIDEN_ABOVE
+}
+
 /// Returns the queries in use as far as they count.
 fn counted_in_use(load: &AggregatorLoad) -> f64 {
     load.in_use.min(load.limit * COUNTED_LOAD_MAX)
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -11,6 +11,7 @@
     aggregator::{
         AggregatorChoice,
         AggregatorLoad,
+        OwnObservation,
         Place, //
     },
     peer_load::ReportedGatherLoad,
@@ -317,6 +318,13 @@
     }
 }
 
+/// Returns the capacity that a process announced, in cores.
+fn capacity_cores(shared: &SharedState, addr: SocketAddr) -> f64 {
+    let aggregators = shared.aggregators();
+    let node = aggregators.node(addr);
+    node.map_or(0.0, |node| node.capacity_cores)
+}
+
 /// Records whether an aggregator answered within the latency goal. A late answer counts as load.
 fn record_answer_time(query: &QueryContext, aggregator: SocketAddr) {
     let shared = &query.shared;
@@ -324,7 +332,13 @@
     if query.arrived_at.elapsed() <= query.route.latency_goal {
         shared.peer_ejection().record_success(aggregator, now);
     } else {
-        shared.peer_ejection().record_late(aggregator, now);
+        let reported = shared.peer_loads().gather_load(aggregator, now);
+        let is_full = reported.is_some_and(|reported| {
+            let observed = OwnObservation::default();
+            let cores = capacity_cores(shared, aggregator);
+            AggregatorLoad::estimate(Some(reported), observed, cores).is_full()
+        });
+        shared.peer_ejection().record_late(aggregator, is_full, now);
         shared.aggregator_use().record_late(aggregator, now);
     }
 }
