--- a/crates/limpet-decide/src/aggregator/chooser.rs
+++ b/crates/limpet-decide/src/aggregator/chooser.rs
@@ -96,7 +96,11 @@
         if draw() < leaving_part {
             zones.extend(self.choose_other_zone(home, choice, draw));
         }
-        zones.push(home);
+        // An aggregator that failed may have failed with its zone.
+        let is_failed = |addr: &SocketAddr| !(choice.is_busy)(*addr);
+        if !choice.refused_by.iter().any(is_failed) {
+            zones.push(home);
+        }
         let mut place = zones
             .into_iter()
             .find_map(|zone| self.choose_in_zone(directory, choice, zone, draw));
@@ -106,6 +110,7 @@
             let mut others: Vec<&str> = directory.zones().filter(|zone| *zone != home).collect();
             let free_of = |zone: &str| self.zones.get(zone).map_or(0.0, |load| load.free);
             others.sort_by(|left, right| free_of(right).total_cmp(&free_of(left)));
+            others.push(home);
             place = others
                 .into_iter()
                 .find_map(|zone| self.choose_in_zone(directory, choice, zone, draw));
--- a/crates/limpet-decide/src/aggregator/peer_ejection.rs
+++ b/crates/limpet-decide/src/aggregator/peer_ejection.rs
@@ -13,6 +13,9 @@
 
 /// Time after a lost query in which only aggregators are used that have answered shortly before or since.
 const PAUSE_TIME: Duration = Duration::from_millis(1500);
+/// The same if another aggregator has answered shortly before, so that not all are gone. One that does not answer
+/// costs its accept timeout, and a query in this process opens connections to all shards.
+const PAUSE_TIME_WITH_ANSWERS: Duration = Duration::from_millis(500);
 /// Time before a lost query in which an answer shows that an aggregator is alive.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
 /// Time constant of the answers by which the aggregators are compared.
@@ -46,6 +49,11 @@
         (-age.as_secs_f64() / COMPARISON_TIME.as_secs_f64()).exp()
     }
 
+    /// Returns whether the latest answer came shortly before a failure or after it.
+    fn is_since(&self, failed_at: Duration) -> bool {
+        self.latest_at + ANSWER_TIME >= failed_at
+    }
+
     /// Records an answer.
     fn record(&mut self, is_late: bool, now: Duration) {
         let decay = self.decay(now);
@@ -55,6 +63,13 @@
     }
 }
 
+/// Failure that lost a query.
+#[derive(Clone, Copy, Debug)]
+struct LostQuery {
+    at: Duration,
+    paused_until: Duration,
+}
+
 /// Aggregators that this process does not use for a while because they failed.
 ///
 /// Many may fail at once, and each lost query costs its caller an error. So after one, only aggregators that have
@@ -65,8 +80,8 @@
 pub struct PeerEjection {
     failures: HashMap<SocketAddr, Failures>,
     answers: HashMap<SocketAddr, Answers>,
-    /// Time of the latest failure that lost a query.
-    lost_at: Option<Duration>,
+    /// Latest failure that lost a query.
+    lost: Option<LostQuery>,
 }
 
 impl PeerEjection {
@@ -86,7 +101,15 @@
         self.eject(aggregator, now);
         self.answers.remove(&aggregator);
         if is_lost {
-            self.lost_at = Some(now);
+            let has_answers = self.answers.values().any(|answers| answers.is_since(now));
+            let pause_time = match has_answers {
+                true => PAUSE_TIME_WITH_ANSWERS,
+                false => PAUSE_TIME,
+            };
+            self.lost = Some(LostQuery {
+                at: now,
+                paused_until: now + pause_time,
+            });
         }
     }
 
@@ -134,12 +157,11 @@
 
     /// Returns whether an aggregator is not used because another one lost a query.
     fn is_paused(&self, aggregator: SocketAddr, now: Duration) -> bool {
-        let Some(lost_at) = self.lost_at else {
+        let Some(lost) = self.lost.filter(|lost| now < lost.paused_until) else {
             return false;
         };
         let answers = self.answers.get(&aggregator);
-        let is_alive = answers.is_some_and(|answers| answers.latest_at + ANSWER_TIME >= lost_at);
-        now < lost_at + PAUSE_TIME && !is_alive
+        !answers.is_some_and(|answers| answers.is_since(lost.at))
     }
 
     /// Ejects an aggregator, for longer with each further failure.
