Use the large processes that a starting process knows, and ask a second aggregator

Cause: after a restart of all processes, each knows a part of the others for half a second and takes the largest of its zone that it knows for primary aggregators, also small ones without warm connections. A query that one aggregator refused found no second one where the extended set has one process. Change: in its first two seconds a process leaves out zones of which it knows only processes under half of the largest capacity. The extended set has at least two processes.

--- a/crates/limpet-decide/src/aggregator/chooser.rs
+++ b/crates/limpet-decide/src/aggregator/chooser.rs
@@ -38,6 +38,11 @@
 const RETURN_STEP: f64 = 0.1;
 /// Capacity that a process without any counts with, so that it is used if there is no other.
 const CORES_MIN: f64 = 1e-6;
+/// Time after the start in which this process may not yet know the aggregators of its zone.
+const STARTUP_TIME: Duration = Duration::from_secs(2);
+/// Capacity of the largest known process of a zone, as a fraction of that of any zone, below which its aggregators
+/// count as not known yet during that time.
+const LARGEST_FRACTION_MIN: f64 = 0.5;
 /// Number of zones and goals for which the part that leaves is kept.
 const LEAVING_PARTS_MAX: usize = 256;
 
@@ -316,15 +321,29 @@
 }
 
 /// Chooses the zone whose aggregators come first: the own one if it serves, else a random serving one.
+///
+/// A process that has just started leaves out the zones of which it knows only small processes: the aggregators of
+/// such a zone are not known yet, and others have no warm connections.
 fn choose_home<'a>(
     directory: &AggregatorDirectory,
     choice: &AggregatorChoice<'a>,
     draw: &mut dyn FnMut() -> f64,
 ) -> Option<&'a str> {
+    let cores = directory.zones().map(|zone| directory.largest_cores(zone));
+    let cores_min = match choice.now < STARTUP_TIME {
+        true => cores.fold(0.0, f64::max) * LARGEST_FRACTION_MIN,
+        false => 0.0,
+    };
     let has_usable = |zone: &&str| usable(directory, choice, zone).next().is_some();
-    let zones: Vec<&str> = serving_zones(choice.shard_shares)
+    let mut zones: Vec<&str> = serving_zones(choice.shard_shares)
         .filter(has_usable)
         .collect();
+    if zones
+        .iter()
+        .any(|zone| directory.largest_cores(zone) >= cores_min)
+    {
+        zones.retain(|zone| directory.largest_cores(zone) >= cores_min);
+    }
     if let Some(own_zone) = zones.iter().find(|zone| **zone == choice.own_zone) {
         return Some(own_zone);
     }
--- a/crates/limpet-decide/src/aggregator/directory.rs
+++ b/crates/limpet-decide/src/aggregator/directory.rs
@@ -14,6 +14,9 @@
 /// Fraction of the processor capacity of all processes that the extended set has, the primary aggregators and those
 /// that help them under load.
 const EXTENDED_CAPACITY_FRACTION: f64 = 0.3;
+/// Smallest number of processes among those with the most capacity in all zones: a query that one of them refuses is
+/// sent to another one.
+const HELPERS_MIN: usize = 2;
 /// A zone is used if its share of shards is at least this fraction of the best one.
 const ZONE_SHARE_MIN: f64 = 0.8;
 
@@ -109,6 +112,13 @@
         )
     }
 
+    /// Returns the largest capacity of a process in a zone, in cores; [`AggregatorDirectory::rank`] must precede.
+    pub(super) fn largest_cores(&self, zone: &str) -> f64 {
+        let largest = self.ranked(zone).first();
+        let node = largest.and_then(|addr| self.nodes.get(addr));
+        node.map_or(0.0, AggregatorNode::usable_cores)
+    }
+
     /// Returns the zones of all processes.
     pub(super) fn zones(&self) -> impl Iterator<Item = &str> {
         self.ranked.keys().map(|zone| &**zone)
@@ -181,9 +191,11 @@
         let needed = self.total_cores * EXTENDED_CAPACITY_FRACTION;
         let mut capacity = 0.0;
         self.helper_counts.clear();
-        for node in all.iter().filter_map(|addr| self.nodes.get(addr)) {
+        let nodes = all.iter().filter_map(|addr| self.nodes.get(addr));
+        for (index, node) in nodes.enumerate() {
             let cores = node.usable_cores();
-            if cores <= 0.0 || capacity + cores / 2.0 > needed {
+            let is_enough = index >= HELPERS_MIN && capacity + cores / 2.0 > needed;
+            if cores <= 0.0 || is_enough {
                 break;
             }
             capacity += cores;
--- a/crates/limpet-decide/tests/aggregator.rs
+++ b/crates/limpet-decide/tests/aggregator.rs
@@ -231,6 +231,31 @@
     }
 }
 
+/// Guards against gathers on the cold connections of all small processes after all have restarted: while a process
+/// knows a third of the others, it uses the large ones that it knows, also in other zones.
+#[test]
+fn starting_processes_use_the_large_ones_that_they_know() {
+    let size = 300;
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut at_small = 0;
+    for index in 0..size {
+        let mut directory = AggregatorDirectory::new();
+        directory.insert(addr(index), node(index));
+        for _ in 0..size / 3 {
+            let other = rng.random_range(0..size);
+            directory.insert(addr(other), node(other));
+        }
+        let chosen = choose(&mut directory, index, &[], &|_| true, &mut rng);
+        let chosen = chosen.unwrap_or(addr(index));
+        at_small += usize::from(directory.node(chosen).unwrap().capacity_cores < 0.5);
+    }
+    // Without the rule for starting processes, small ones got 72 of 300.
+    assert!(
+        at_small * 20 <= size,
+        "{at_small} of {size} at small processes"
+    );
+}
+
 /// Guards against a malformed announcement that takes over the whole load or breaks the ranking.
 #[test]
 fn odd_capacities_count_as_none() {
--- a/crates/limpet-decide/tests/aggregator_load.rs
+++ b/crates/limpet-decide/tests/aggregator_load.rs
@@ -5,6 +5,8 @@
 
 #[path = "aggregator_load/fleet.rs"]
 mod fleet;
+#[path = "aggregator_load/process.rs"]
+mod process;
 
 use std::{
     collections::BTreeMap,
@@ -13,11 +15,7 @@
 };
 
 use fleet::{
-    Counts,
     Fleet,
-    FleetSettings,
-    Reports,
-    Variant,
     ZONES,
     addr,
     shares, //
@@ -35,6 +33,12 @@
     peer_load::ReportedGatherLoad,
 };
 use limpet_types::message::GatherLoad;
+use process::{
+    Counts,
+    FleetSettings,
+    Reports,
+    Variant, //
+};
 use rand::{
     Rng,
     SeedableRng, //
--- a/crates/limpet-decide/tests/aggregator_load/fleet.rs
+++ b/crates/limpet-decide/tests/aggregator_load/fleet.rs
@@ -6,11 +6,6 @@
         BinaryHeap,
         VecDeque, //
     },
-    fmt::{
-        self,
-        Display,
-        Formatter, //
-    },
     net::SocketAddr,
     time::Duration,
 };
@@ -29,19 +24,25 @@
     },
     peer_load::ReportedGatherLoad,
 };
-use limpet_types::message::GatherLoad;
 use rand::{
     Rng,
     SeedableRng, //
 };
 use rand_chacha::ChaCha8Rng;
 
+use super::process::{
+    Counts,
+    FleetSettings,
+    KeepLast,
+    Process,
+    Query,
+    REPORT_PERIOD_MS,
+    Reports,
+    Variant, //
+};
+
 /// Zones; the last one has no targets.
 pub(crate) const ZONES: [&str; 4] = ["a", "b", "c", "d"];
-/// Time between two load reports of a process.
-const REPORT_PERIOD_MS: u64 = 400;
-/// Age from which on a report counts as missing.
-const REPORT_AGE_MAX_MS: u64 = 3000;
 /// Queries that a process runs at a time, per core.
 const LIMIT_PER_CORE: f64 = 16.0;
 /// Queries that wait at a process, as a multiple of its limit, before it refuses more.
@@ -51,111 +52,6 @@
 /// Load of the primary aggregators at the usual rate.
 const USUAL_LOAD: f64 = 0.35;
 
-/// How a process uses the load reports; all but one variant are wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Variant {
-    /// As decided.
-    Decided,
-    /// Every query goes to the least loaded aggregator.
-    LeastLoaded,
-    /// Reports count as current whatever their age, and own queries since then are not added.
-    AgeIgnored,
-}
-
-/// What a process reports.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Reports {
-    True,
-    Missing,
-    NoLoad,
-    FullLoad,
-}
-
-/// Settings of a fleet.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct FleetSettings {
-    pub(crate) size: usize,
-    /// Mean run time of a query, in milliseconds.
-    pub(crate) run_ms: u64,
-    /// Latency goal, in milliseconds.
-    pub(crate) goal_ms: u64,
-    /// Delay and loss of the reports.
-    pub(crate) report_delay_ms: u64,
-    pub(crate) report_loss: f64,
-    pub(crate) variant: Variant,
-    pub(crate) seed: u64,
-}
-
-/// A query that runs or waits.
-#[derive(Clone, Copy, Debug)]
-struct Query {
-    from: usize,
-    sent_at_ms: u64,
-}
-
-/// One process.
-#[derive(Debug)]
-pub(crate) struct Process {
-    pub(crate) zone: usize,
-    pub(crate) cores: f64,
-    pub(crate) is_live: bool,
-    pub(crate) frozen_until_ms: u64,
-    pub(crate) reports: Reports,
-    /// Whether the process refuses every query as busy.
-    pub(crate) refuses_all: bool,
-    limit: usize,
-    running: usize,
-    queue: VecDeque<Query>,
-    chooser: AggregatorChooser,
-    aggregator_use: AggregatorUse,
-    ejection: PeerEjection,
-    /// Reports that were sent, the latest last.
-    sent_reports: VecDeque<(u64, GatherLoad)>,
-    was_loaded: bool,
-}
-
-/// Counts since the last reset.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Counts {
-    pub(crate) queries: usize,
-    /// Refusals of aggregators as busy, by aggregator.
-    pub(crate) busy: Vec<usize>,
-    /// Queries that a process outside of the extended set ran itself, on cold connections.
-    pub(crate) cold: usize,
-    /// Queries for which no process was found.
-    pub(crate) refused: usize,
-    /// Queries whose aggregator froze before it had them.
-    pub(crate) not_accepted: usize,
-    /// Queries that were lost with their aggregator.
-    pub(crate) lost: usize,
-    /// Queries that ended after their goal.
-    pub(crate) late: usize,
-    /// Queries by process that ran them.
-    pub(crate) run_by: Vec<usize>,
-    /// Queries that left their zone, by zone.
-    pub(crate) left_zone: [usize; ZONES.len()],
-    /// Sum over the time of the queries in use, by process.
-    in_use_ms: Vec<usize>,
-    duration_ms: usize,
-}
-
-impl Display for Counts {
-    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        let busy: usize = self.busy.iter().sum();
-        write!(
-            formatter,
-            "queries {} busy {busy} cold {} refused {} not accepted {} lost {} late {} left {:?}",
-            self.queries,
-            self.cold,
-            self.refused,
-            self.not_accepted,
-            self.lost,
-            self.late,
-            self.left_zone
-        )
-    }
-}
-
 /// The fleet.
 pub(crate) struct Fleet {
     pub(crate) settings: FleetSettings,
@@ -564,74 +460,3 @@
         place
     }
 }
-
-impl Process {
-    /// Returns what the process reports.
-    fn gather_load(&self, run_ms: u64) -> GatherLoad {
-        let wait_ms = (self.queue.len() as u64 + 1) * run_ms / self.limit as u64;
-        let wait_ms = if self.running < self.limit {
-            0
-        } else {
-            wait_ms
-        };
-        let load = GatherLoad {
-            running: self.running as u16,
-            waiting: self.queue.len() as u16,
-            limit: self.limit as u16,
-            expected_wait_ms: wait_ms as u16,
-        };
-        match self.reports {
-            Reports::True | Reports::Missing => load,
-            Reports::NoLoad => GatherLoad {
-                running: 0,
-                waiting: 0,
-                limit: u16::MAX,
-                expected_wait_ms: 0,
-            },
-            Reports::FullLoad => GatherLoad {
-                running: self.limit as u16,
-                waiting: 4 * self.limit as u16,
-                limit: self.limit as u16,
-                expected_wait_ms: 1000,
-            },
-        }
-    }
-
-    /// Returns the latest report that another process has received.
-    fn visible_report(
-        &self,
-        observer: usize,
-        own: usize,
-        now: Duration,
-        settings: &FleetSettings,
-    ) -> Option<ReportedGatherLoad> {
-        let now_ms = now.as_millis() as u64;
-        let is_received = |sent_at_ms: u64| {
-            let key = (sent_at_ms ^ (observer as u64) << 32 ^ (own as u64) << 48)
-                .wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            (key >> 40) as f64 / (1_u64 << 24) as f64 >= settings.report_loss
-        };
-        let mut reports = self.sent_reports.iter().rev();
-        let (sent_at_ms, load) = reports.find(|(sent_at_ms, _)| {
-            sent_at_ms + settings.report_delay_ms <= now_ms && is_received(*sent_at_ms)
-        })?;
-        let age_ms = now_ms - sent_at_ms - settings.report_delay_ms;
-        let is_used = settings.variant == Variant::AgeIgnored || age_ms < REPORT_AGE_MAX_MS;
-        is_used.then_some(ReportedGatherLoad {
-            load: *load,
-            age: Duration::from_millis(age_ms),
-        })
-    }
-}
-
-/// Keeps the end of a queue.
-trait KeepLast {
-    fn keep_last(&mut self, length: usize);
-}
-
-impl<T> KeepLast for VecDeque<T> {
-    fn keep_last(&mut self, length: usize) {
-        let excess = self.len().saturating_sub(length);
-        self.drain(..excess);
-    }
-}
--- a/crates/limpet-gateway/tests/aggregator.rs
+++ b/crates/limpet-gateway/tests/aggregator.rs
@@ -233,6 +233,50 @@
     }
 }
 
+/// Guards against a query that runs on cold connections because one aggregator is busy, and against asking that one
+/// again and again.
+#[tokio::test]
+async fn second_aggregator_runs_what_a_busy_one_refuses() {
+    let mut fleet = start_fleet(&[SMALL_CAPACITY_CORES], ok_reply()).await;
+    let report_to = [fleet.gateways[0].peer_addr];
+    let busy_count = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&busy_count);
+    let busy = move |request| {
+        let is_query = matches!(request, PeerRequest::Gather(_));
+        count.fetch_add(usize::from(is_query), Ordering::Relaxed);
+        async { PeerReply::Gather(GatherReply::Refused(GatherRefusal::Busy)) }
+    };
+    let free = |_| async {
+        PeerReply::Gather(GatherReply::Gathered {
+            signatures: Vec::new(),
+            missing_count: 0,
+            body: Vec::new(),
+        })
+    };
+    let (busy_ip, free_ip) = (unused_loopback_ip(), unused_loopback_ip());
+    // The busy one has most capacity, so it is the primary aggregator.
+    let peers = [
+        FakePeer::start(&busy_ip, 2.0 * LARGE_CAPACITY_CORES, &report_to, busy).await,
+        FakePeer::start(&free_ip, LARGE_CAPACITY_CORES, &report_to, free).await,
+    ];
+    fleet._peers.extend(peers);
+    sleep(DISCOVERY_TIME).await;
+    let started = Instant::now();
+    for _ in 0..10 {
+        let reply = get(fleet.gateways[0].caller_addr, "/all/q").await;
+        assert_eq!(reply.status, 200);
+    }
+    let refusals_max = 1 + started.elapsed().as_millis() as usize / 200;
+    let refusals = busy_count.load(Ordering::Relaxed);
+    assert!(
+        (1..=refusals_max).contains(&refusals),
+        "{refusals} refusals"
+    );
+    for target in &fleet.targets {
+        assert!(target.received_requests().is_empty());
+    }
+}
+
 /// Guards against "not run", or a second run of each shard, after an aggregator that began a query was lost.
 #[tokio::test]
 async fn query_whose_aggregator_is_lost_may_have_run() {
