Compute the connections of an aggregator in limpet-decide

Cause: the share of the extended set decides how many connections a target gets, and had no test. Change: connections_limit is a function of the usable connections, the equal share and the size of the set. Evidence: 27 tests of aggregator pass; with 85 connections, 86 processes and 8 members each member holds 4.

--- a/crates/limpet-decide/src/aggregator/mod.rs
+++ b/crates/limpet-decide/src/aggregator/mod.rs
@@ -13,6 +13,7 @@
 mod aggregator_use;
 mod choice;
 mod chooser;
+mod connection_share;
 mod directory;
 mod peer_ejection;
 mod query_rate;
@@ -29,6 +30,7 @@
         Place, //
     },
     chooser::AggregatorChooser,
+    connection_share::connections_limit,
     directory::{
         AggregatorDirectory,
         AggregatorNode, //
--- a/crates/limpet-decide/tests/aggregator.rs
+++ b/crates/limpet-decide/tests/aggregator.rs
@@ -17,7 +17,8 @@
     AggregatorNode,
     OwnObservation,
     PeerEjection,
-    QueryRate, //
+    QueryRate,
+    connections_limit, //
 };
 use rand::{
     Rng,
@@ -274,6 +275,65 @@
     assert!(counts.keys().all(|aggregator| *aggregator < addr(1000)));
 }
 
+limpet_testkit::cases! {
+    members_of_the_extended_set_have_several_connections:
+    of_86_processes_with_8_members => (85, 86, 8),
+    of_77_processes_with_7_members => (70, 77, 7),
+    of_60_processes_with_7_members => (85, 60, 7),
+    of_40_processes_with_5_members => (85, 40, 5),
+}
+
+/// Guards against members of the extended set with one connection per target, and against more of their connections
+/// than half of those that a target has for all processes.
+fn members_of_the_extended_set_have_several_connections(
+    (connections_max, process_count, member_count): (u32, usize, usize),
+) {
+    let usable = f64::from(connections_max) * 0.85;
+    let share = usable / process_count as f64;
+    let limit = connections_limit(usable, share, Some(member_count));
+    assert!(limit >= 3, "{limit} connections");
+    assert!((limit * member_count) as f64 <= usable / 2.0);
+    assert_eq!(connections_limit(usable, share, None), 1);
+}
+
+/// Guards against a change at a small site, whose processes share all connections.
+#[test]
+fn aggregators_of_a_small_site_have_the_equal_share() {
+    for member_count in [None, Some(2), Some(3)] {
+        assert_eq!(connections_limit(72.0, 9.0, member_count), 9);
+    }
+}
+
+/// Guards against a set that grows with the number of small processes, and against one of a single process.
+#[test]
+fn extended_set_has_the_largest_processes_of_all_zones() {
+    let mut directory = AggregatorDirectory::new();
+    for index in 0..86 {
+        let zone = ZONES[index % 4].into();
+        let capacity_cores = if index < 8 { 0.5 } else { 0.12 };
+        directory.insert(
+            addr(index),
+            AggregatorNode {
+                zone,
+                capacity_cores,
+            },
+        );
+    }
+    let shares = shares_of_three_zones();
+    let members: Vec<usize> = (0..86)
+        .filter(|index| {
+            let count = directory.extended_count_with(addr(*index), &shares);
+            assert!(count.is_none_or(|count| count == 8));
+            count.is_some()
+        })
+        .collect();
+    assert_eq!(members, (0..8).collect::<Vec<usize>>());
+    // Three small processes have the capacity of a large one that has left, to 0.3 of the capacity of all.
+    directory.retain(|other| other != addr(3));
+    let count = directory.extended_count_with(addr(7), &shares);
+    assert_eq!(count, Some(10));
+}
+
 /// Returns whether the queries of a process that come at this rate at random times keep its connections warm,
 /// in the share of checks over a minute.
 fn warm_share(rate_per_s: f64, idle_timeout: Duration) -> f64 {
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -6,6 +6,7 @@
     time::Duration, //
 };
 
+use limpet_decide::aggregator::connections_limit;
 use limpet_types::deployment::TargetId;
 use rand::Rng;
 
@@ -26,11 +27,6 @@
 /// Maximum number of gone targets that are kept because of their notices.
 const GONE_TARGETS_MAX: usize = 4096;
 
-/// Fraction of the usable connections that the aggregators share.
-const AGGREGATOR_CONNECTIONS_FRACTION: f64 = 0.5;
-/// Equal share of the connections below which a process holds only one, and aggregators get a part of their own.
-const EQUAL_SHARE_MIN: f64 = 2.0;
-
 /// Function that returns the time between two requests of this process to a cold target, or `None` if it may send
 /// none.
 pub(super) type ColdSendInterval<'a> = dyn Fn(&Target) -> Option<Duration> + 'a;
@@ -62,13 +58,7 @@
     pub fn connections_limit(&self) -> usize {
         let usable_connection_count = f64::from(self.connections_max) * USABLE_CONNECTIONS_FRACTION;
         let share = connections_share(self.connections_max, self.process_count);
-        let aggregator_share = match self.aggregator_count {
-            Some(count) if share < EQUAL_SHARE_MIN => {
-                usable_connection_count * AGGREGATOR_CONNECTIONS_FRACTION / count.max(1) as f64
-            }
-            Some(_) | None => 0.0,
-        };
-        (share.max(aggregator_share) as usize).max(1)
+        connections_limit(usable_connection_count, share, self.aggregator_count)
     }
 
     /// Returns whether this process may send a request to a target now as far as its warm-up goes.
