Keep aggregators open to more urgent queries after a refusal, and wait for the effect of a step

Cause: a refusal as busy excluded an aggregator for all queries of a process, also for urgent ones that its queue would admit. The part of the queries that leaves a zone was raised again before the reports showed the previous step, which matters where reports come every 0.9 s (86 processes) or 2.85 s (295). The less loaded of two aggregators got more than the difference of the loads called for. Change: a refusal covers queries that are no more urgent and have no more time left. A step of the leaving part waits for reports from after the previous one. The part moved between two aggregators is the relative difference of their loads. After a refusal the home zone comes first only if a member there has a free place.

--- a/crates/limpet-decide/src/aggregator/aggregator_load.rs
+++ b/crates/limpet-decide/src/aggregator/aggregator_load.rs
@@ -46,6 +46,8 @@
     pub expected_wait: Duration,
     /// How far the estimate is relied on, from 0 to 1; less the older the report is.
     pub weight: f64,
+    /// Age of the report, if there is one.
+    pub age: Option<Duration>,
 }
 
 impl AggregatorLoad {
@@ -85,6 +87,7 @@
             limit,
             expected_wait,
             weight,
+            age: reported.map(|reported| reported.age),
         }
     }
 
--- a/crates/limpet-decide/src/aggregator/aggregator_use.rs
+++ b/crates/limpet-decide/src/aggregator/aggregator_use.rs
@@ -14,11 +14,29 @@
 /// Time after which an aggregator without queries in flight is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(3);
 
+/// How urgent a query is for the queue of an aggregator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Urgency {
+    /// Priority; 0 is the highest.
+    pub priority: u32,
+    /// Time until the end of the latency goal.
+    pub goal_left: Duration,
+}
+
+/// A query that an aggregator refused as busy.
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    urgency: Urgency,
+    refused_at: Duration,
+}
+
 /// Queries of this process at one aggregator.
 #[derive(Clone, Debug, Default)]
 struct Use {
     /// Send times of the queries in flight.
     sent_at: Vec<Duration>,
+    /// Refusals since which it is not asked again; none of them is covered by an earlier one.
+    refusals: Vec<Refusal>,
     refused_at: Option<Duration>,
     late_at: Option<Duration>,
 }
@@ -53,8 +71,14 @@
     }
 
     /// Records that an aggregator refused a query because it is busy.
-    pub fn record_busy(&mut self, aggregator: SocketAddr, now: Duration) {
-        self.by_addr.entry(aggregator).or_default().refused_at = Some(now);
+    pub fn record_busy(&mut self, aggregator: SocketAddr, urgency: Urgency, now: Duration) {
+        let entry = self.by_addr.entry(aggregator).or_default();
+        entry.refusals.retain(|refusal| refusal.is_recent(now));
+        entry.refusals.push(Refusal {
+            urgency,
+            refused_at: now,
+        });
+        entry.refused_at = Some(now);
     }
 
     /// Records that an aggregator answered after the latency goal.
@@ -63,10 +87,14 @@
     }
 
     /// Returns whether an aggregator is not asked because it has just refused a query.
-    pub fn is_busy(&self, aggregator: SocketAddr, now: Duration) -> bool {
+    ///
+    /// It may still accept a query of a higher priority, or one with more time left than the refused one.
+    pub fn is_busy(&self, aggregator: SocketAddr, urgency: Urgency, now: Duration) -> bool {
         let entry = self.by_addr.get(&aggregator);
-        let refused_at = entry.and_then(|entry| entry.refused_at);
-        refused_at.is_some_and(|at| now < at + BUSY_TIME)
+        entry.is_some_and(|entry| {
+            let mut refusals = entry.refusals.iter();
+            refusals.any(|refusal| refusal.is_recent(now) && refusal.covers(urgency))
+        })
     }
 
     /// Returns what this process knows of an aggregator whose latest report arrived at `reported_at`.
@@ -90,6 +118,18 @@
     }
 }
 
+impl Refusal {
+    /// Returns whether the aggregator still counts as busy.
+    fn is_recent(&self, now: Duration) -> bool {
+        now < self.refused_at + BUSY_TIME
+    }
+
+    /// Returns whether a query is no more urgent and has no more time than the refused one.
+    fn covers(&self, urgency: Urgency) -> bool {
+        urgency.priority >= self.urgency.priority && urgency.goal_left <= self.urgency.goal_left
+    }
+}
+
 impl Use {
     /// Returns whether the entry may still count towards the load of the aggregator.
     fn is_needed(&self, now: Duration) -> bool {
--- a/crates/limpet-decide/src/aggregator/chooser.rs
+++ b/crates/limpet-decide/src/aggregator/chooser.rs
@@ -19,9 +19,10 @@
 
 /// Load below which a primary aggregator runs its own queries itself.
 const OWN_LOAD_LOW: f64 = 0.7;
-/// Difference of two loads from which on the less loaded of two aggregators gets every query, if both are known
-/// exactly. Below, its part grows with the difference, so that a change of the reports moves few queries.
-const LOAD_DIFFERENCE_FULL: f64 = 0.5;
+/// Smallest load to which the difference of two loads is compared. The less loaded of two aggregators gets the part of
+/// the queries of the other by which it is less loaded, so that what they get differs by no more than their loads do,
+/// and a change of the reports moves few queries. Below this load, small differences mean nothing.
+const COMPARED_LOAD_MIN: f64 = 0.5;
 /// Load of a zone above which part of its queries goes to other zones.
 const LEAVE_ABOVE: f64 = 1.0;
 /// Load to which the queries that leave a zone should bring it.
@@ -36,6 +37,10 @@
 const LEAVE_STEP_MIN: f64 = 0.1;
 /// Step by which it falls, in one report period: all queries have returned after four seconds.
 const RETURN_STEP: f64 = 0.1;
+/// Largest number of report periods that count in one step, if a step took longer because reports are rare.
+const RETURN_PERIODS_MAX: f64 = 3.0;
+/// Longest time between two steps, if reports do not arrive.
+const STEP_TIME_MAX: Duration = Duration::from_secs(4);
 /// Capacity that a process without any counts with, so that it is used if there is no other.
 const CORES_MIN: f64 = 1e-6;
 /// Time after the start in which this process may not yet know the aggregators of its zone.
@@ -101,9 +106,7 @@
         if draw() < leaving_part {
             zones.extend(self.choose_other_zone(home, choice, draw));
         }
-        // An aggregator that failed may have failed with its zone.
-        let is_failed = |addr: &SocketAddr| !(choice.is_busy)(*addr);
-        if !choice.refused_by.iter().any(is_failed) {
+        if choice.refused_by.is_empty() || has_room_after_refusal(directory, choice, home) {
             zones.push(home);
         }
         let mut place = zones
@@ -173,6 +176,7 @@
     /// Returns the part of the queries that leaves a zone, after an adjustment if one is due.
     fn leaving_part(&mut self, home: &str, choice: &AggregatorChoice<'_>) -> f64 {
         let load = self.zones.get(home).map_or(0.0, |zone| zone.load);
+        let reported_since = self.zones.get(home).and_then(|zone| zone.reported_since);
         let is_missing = self.is_missing_goal(home, choice.goal);
         let has_room = self.rooms(home, choice.goal).next().is_some();
         let key = (home.into(), choice.goal);
@@ -182,17 +186,21 @@
         let state = self.leaving_parts.entry(key).or_default();
         let elapsed = state
             .updated_at
-            .map_or(LOAD_REPORT_PERIOD, |at| choice.now.saturating_sub(at));
-        if elapsed < LOAD_REPORT_PERIOD {
+            .map_or(Duration::MAX, |at| choice.now.saturating_sub(at));
+        // A step waits until the reports show what the previous one did.
+        let is_shown = state.updated_at.is_none_or(|updated_at| {
+            reported_since.is_none_or(|reported_since| reported_since > updated_at)
+        });
+        if elapsed < LOAD_REPORT_PERIOD || (!is_shown && elapsed < STEP_TIME_MAX) {
             return state.part;
         }
         state.updated_at = Some(choice.now);
-        let periods = elapsed.as_secs_f64() / LOAD_REPORT_PERIOD.as_secs_f64();
         if is_missing && has_room {
             let excess = (1.0 - state.part) * (1.0 - LEAVE_TO / load.max(LEAVE_TO));
             state.part = (state.part + excess.max(LEAVE_STEP_MIN)).min(LEAVING_PART_MAX);
         } else if !is_missing && load < RETURN_BELOW {
-            state.part = (state.part - RETURN_STEP * periods).max(0.0);
+            let periods = elapsed.as_secs_f64() / LOAD_REPORT_PERIOD.as_secs_f64();
+            state.part = (state.part - RETURN_STEP * periods.min(RETURN_PERIODS_MAX)).max(0.0);
         }
         state.part
     }
@@ -304,7 +312,8 @@
 fn less_loaded(first: &Candidate, second: &Candidate, draw: f64) -> SocketAddr {
     let difference = first.load.load() - second.load.load();
     let weight = first.load.weight.min(second.load.weight);
-    match draw < difference / LOAD_DIFFERENCE_FULL * weight {
+    let compared_load = first.load.load().max(COMPARED_LOAD_MIN);
+    match draw < difference / compared_load * weight {
         true => second.addr,
         false => first.addr,
     }
@@ -395,6 +404,22 @@
     choice.refused_by.is_empty() && primaries.any(|addr| addr == choice.own_addr)
 }
 
+/// Returns whether a zone has a member with a free place for a query that others refused as busy. If one failed, it
+/// may have failed with its zone.
+fn has_room_after_refusal(
+    directory: &AggregatorDirectory,
+    choice: &AggregatorChoice<'_>,
+    zone: &str,
+) -> bool {
+    let mut refused_by = choice.refused_by.iter();
+    let has_room = |addr: SocketAddr| {
+        !choice.refused_by.contains(&addr)
+            && !(choice.is_busy)(addr)
+            && !load_of(directory, choice, addr).is_full()
+    };
+    refused_by.all(|addr| (choice.is_busy)(*addr)) && members(directory, choice, zone).any(has_room)
+}
+
 /// Returns whether another member of the extended set is usable but busy.
 fn has_busy(directory: &AggregatorDirectory, choice: &AggregatorChoice<'_>) -> bool {
     directory.zones().any(|zone| {
--- a/crates/limpet-decide/src/aggregator/mod.rs
+++ b/crates/limpet-decide/src/aggregator/mod.rs
@@ -24,7 +24,10 @@
         AggregatorLoad,
         OwnObservation, //
     },
-    aggregator_use::AggregatorUse,
+    aggregator_use::{
+        AggregatorUse,
+        Urgency, //
+    },
     choice::{
         AggregatorChoice,
         Place, //
--- a/crates/limpet-decide/src/aggregator/zone_load.rs
+++ b/crates/limpet-decide/src/aggregator/zone_load.rs
@@ -42,6 +42,8 @@
     pub(super) free: f64,
     /// Shortest time that a query is expected to wait at one of them.
     pub(super) expected_wait: Duration,
+    /// Time of the earliest of the latest reports of those that report.
+    pub(super) reported_since: Option<Duration>,
 }
 
 impl ZoneLoad {
@@ -78,6 +80,8 @@
             .sum();
         let waits = loads.iter().map(|load| load.expected_wait);
         self.expected_wait = waits.min().unwrap_or_default();
+        let ages = loads.iter().filter_map(|load| load.age);
+        self.reported_since = ages.max().map(|age| now.saturating_sub(age));
         self.update_width(loads, primary_count, now);
     }
 
--- a/crates/limpet-decide/tests/aggregator_load.rs
+++ b/crates/limpet-decide/tests/aggregator_load.rs
@@ -27,8 +27,10 @@
         AggregatorDirectory,
         AggregatorLoad,
         AggregatorNode,
+        AggregatorUse,
         OwnObservation,
-        Place, //
+        Place,
+        Urgency, //
     },
     peer_load::ReportedGatherLoad,
 };
@@ -49,6 +51,7 @@
     size: 86,
     run_ms: 60,
     goal_ms: 300,
+    report_period_ms: 400,
     report_delay_ms: 20,
     report_loss: 0.05,
     variant: Variant::Decided,
@@ -95,6 +98,10 @@
     by_1000_processes => FleetSettings { size: 1000, ..SETTINGS },
     by_6400_processes => FleetSettings { size: 6400, run_ms: 300, goal_ms: 1500, ..SETTINGS },
     with_late_and_lost_reports => FleetSettings { report_delay_ms: 300, report_loss: 0.3, ..SETTINGS },
+    with_reports_as_rare_as_in_the_first_deployment =>
+        FleetSettings { report_period_ms: 900, ..SETTINGS },
+    with_reports_as_rare_as_in_the_largest_site =>
+        FleetSettings { size: 295, report_period_ms: 2850, ..SETTINGS },
     with_other_draws => FleetSettings { seed: 8, ..SETTINGS },
 }
 
@@ -264,6 +271,31 @@
     assert!(busy * 50 <= counts.queries, "{busy} refusals");
 }
 
+/// Guards against urgent queries that find no aggregator because less urgent ones were refused, and against asking an
+/// aggregator again for a query that it would refuse as well.
+#[test]
+fn refusal_covers_less_urgent_queries_only() {
+    let urgency = |priority, goal_left_ms| Urgency {
+        priority,
+        goal_left: Duration::from_millis(goal_left_ms),
+    };
+    let now = Duration::from_secs(10);
+    let mut aggregator_use = AggregatorUse::new();
+    aggregator_use.record_busy(addr(1), urgency(1, 200), now);
+    for (other, is_busy) in [
+        (urgency(1, 200), true),
+        (urgency(1, 100), true),
+        (urgency(2, 200), true),
+        (urgency(1, 201), false),
+        (urgency(0, 80), false),
+    ] {
+        assert_eq!(aggregator_use.is_busy(addr(1), other, now), is_busy);
+        assert!(!aggregator_use.is_busy(addr(2), other, now));
+        let later = now + Duration::from_millis(200);
+        assert!(!aggregator_use.is_busy(addr(1), other, later));
+    }
+}
+
 /// Guards against one process that asks a busy aggregator again and again because it reports no load.
 #[test]
 fn false_report_costs_a_process_one_refusal_in_200_ms() {
--- a/crates/limpet-decide/tests/aggregator_load/fleet.rs
+++ b/crates/limpet-decide/tests/aggregator_load/fleet.rs
@@ -20,7 +20,8 @@
         AggregatorUse,
         OwnObservation,
         PeerEjection,
-        Place, //
+        Place,
+        Urgency, //
     },
     peer_load::ReportedGatherLoad,
 };
@@ -36,7 +37,6 @@
     KeepLast,
     Process,
     Query,
-    REPORT_PERIOD_MS,
     Reports,
     Variant, //
 };
@@ -84,6 +84,14 @@
     zones.map(|zone| ((*zone).into(), 1.0)).collect()
 }
 
+/// Returns the urgency of each query.
+fn urgency(settings: &FleetSettings) -> Urgency {
+    Urgency {
+        priority: 1,
+        goal_left: Duration::from_millis(settings.goal_ms),
+    }
+}
+
 impl Fleet {
     /// Creates a fleet in which eight of 86 processes have 0.5 core and the others have 0.12.
     pub(crate) fn new(settings: FleetSettings) -> Self {
@@ -286,8 +294,9 @@
 
     fn send_reports(&mut self) {
         for (index, process) in self.processes.iter_mut().enumerate() {
-            let phase = index as u64 * 37 % REPORT_PERIOD_MS;
-            let is_due = (self.now_ms + phase).is_multiple_of(REPORT_PERIOD_MS);
+            let period_ms = self.settings.report_period_ms;
+            let phase = index as u64 * 37 % period_ms;
+            let is_due = (self.now_ms + phase).is_multiple_of(period_ms);
             let is_running = process.is_live && process.frozen_until_ms <= self.now_ms;
             if !is_due || !is_running || process.reports == Reports::Missing {
                 continue;
@@ -334,6 +343,7 @@
             sent_at_ms: self.now_ms,
         };
         let now = self.now();
+        let query_urgency = urgency(&self.settings);
         let mut refused_by = Vec::new();
         while refused_by.len() < ASKED_MAX {
             let index = match self.choose(from, &refused_by) {
@@ -354,7 +364,7 @@
             {
                 self.counts.busy[index] += 1;
                 let aggregator_use = &mut self.processes[from].aggregator_use;
-                aggregator_use.record_busy(addr(index), now);
+                aggregator_use.record_busy(addr(index), query_urgency, now);
             } else {
                 let from_process = &mut self.processes[from];
                 from_process.aggregator_use.record_send(addr(index), now);
@@ -366,7 +376,7 @@
         let own = &self.processes[from];
         let are_all_busy = refused_by
             .iter()
-            .all(|addr| own.aggregator_use.is_busy(*addr, now));
+            .all(|addr| own.aggregator_use.is_busy(*addr, query_urgency, now));
         let is_refused = !refused_by.is_empty() && are_all_busy;
         if is_refused || own.queue.len() >= own.limit * QUEUE_LIMITS {
             self.counts.refused += 1;
@@ -428,7 +438,7 @@
             shard_shares: &shares,
             goal: Duration::from_millis(settings.goal_ms),
             is_usable: &is_usable,
-            is_busy: &|addr| own.aggregator_use.is_busy(addr, now),
+            is_busy: &|addr| own.aggregator_use.is_busy(addr, urgency(&settings), now),
             load_of: &load_of,
             refused_by,
             now,
--- a/crates/limpet-decide/tests/aggregator_load/process.rs
+++ b/crates/limpet-decide/tests/aggregator_load/process.rs
@@ -22,9 +22,7 @@
 
 use super::fleet::ZONES;
 
-/// Time between two load reports of a process.
-pub(super) const REPORT_PERIOD_MS: u64 = 400;
-/// Age from which on a report counts as missing.
+/// Age from which on a report counts as missing, unless reports are rarer.
 const REPORT_AGE_MAX_MS: u64 = 3000;
 
 /// How a process uses the load reports; all but one variant are wrong.
@@ -55,7 +53,8 @@
     pub(crate) run_ms: u64,
     /// Latency goal, in milliseconds.
     pub(crate) goal_ms: u64,
-    /// Delay and loss of the reports.
+    /// Time between two reports of a process, and their delay and loss.
+    pub(crate) report_period_ms: u64,
     pub(crate) report_delay_ms: u64,
     pub(crate) report_loss: f64,
     pub(crate) variant: Variant,
@@ -183,7 +182,8 @@
             sent_at_ms + settings.report_delay_ms <= now_ms && is_received(*sent_at_ms)
         })?;
         let age_ms = now_ms - sent_at_ms - settings.report_delay_ms;
-        let is_used = settings.variant == Variant::AgeIgnored || age_ms < REPORT_AGE_MAX_MS;
+        let age_max_ms = REPORT_AGE_MAX_MS.max(settings.report_period_ms * 5 / 2);
+        let is_used = settings.variant == Variant::AgeIgnored || age_ms < age_max_ms;
         is_used.then_some(ReportedGatherLoad {
             load: *load,
             age: Duration::from_millis(age_ms),
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -12,7 +12,8 @@
         AggregatorChoice,
         AggregatorLoad,
         OwnObservation,
-        Place, //
+        Place,
+        Urgency, //
     },
     peer_load::ReportedGatherLoad,
 };
@@ -80,8 +81,9 @@
     let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
     let mut refused_by = Vec::new();
     while refused_by.len() < AGGREGATORS_MAX {
-        let Place::At(aggregator) = choose_place(&query, &shard_shares, &refused_by) else {
-            break;
+        let aggregator = match choose_place(&query, &shard_shares, &refused_by) {
+            Place::At(aggregator) => aggregator,
+            Place::Here | Place::AllBusy => break,
         };
         match aggregate_at(&query, aggregator).await {
             Aggregation::Ended(outcome) => return outcome,
@@ -134,6 +136,7 @@
     let live_addrs = shared.membership().live_addrs(now);
     shared.remove_gone_aggregators();
     let own_gathers = shared.load_tracker().gathers();
+    let urgency = urgency(query);
     let peer_ejection = shared.peer_ejection();
     let peer_loads = shared.peer_loads();
     let aggregator_use = shared.aggregator_use();
@@ -158,7 +161,7 @@
         shard_shares,
         goal: query.route.latency_goal,
         is_usable: &is_usable,
-        is_busy: &|addr| aggregator_use.is_busy(addr, now),
+        is_busy: &|addr| aggregator_use.is_busy(addr, urgency, now),
         load_of: &load_of,
         refused_by,
         now,
@@ -167,6 +170,14 @@
     shared.choose_aggregator(&choice, &mut || rng.random_range(0.0..1.0))
 }
 
+/// Returns how urgent a query is.
+fn urgency(query: &QueryContext) -> Urgency {
+    Urgency {
+        priority: query.priority,
+        goal_left: query.goal_at.saturating_duration_since(Instant::now()),
+    }
+}
+
 /// Counts a query at an aggregator until it is dropped.
 struct SentQuery<'a> {
     shared: &'a SharedState,
@@ -276,7 +287,12 @@
                 GatherRefusal::Stopping => {
                     shared.peer_ejection().record_stopping(aggregator, now);
                 }
-                GatherRefusal::Busy => shared.aggregator_use().record_busy(aggregator, now),
+                GatherRefusal::Busy => {
+                    let urgency = urgency(query);
+                    shared
+                        .aggregator_use()
+                        .record_busy(aggregator, urgency, now);
+                }
                 GatherRefusal::OtherConfig => {}
             }
             tracing::info!(request_id = query.request_id(), %aggregator, ?refusal, "aggregator refused");
