Take the time left of a refused query when it was sent

Change: the urgency is that at the send, and a query needs a quarter more time than a refused one to be sent.

--- a/crates/limpet-decide/src/aggregator/aggregator_use.rs
+++ b/crates/limpet-decide/src/aggregator/aggregator_use.rs
@@ -11,6 +11,9 @@
 /// Time in which an aggregator that refused a query as busy is not asked again, whatever it reports. A false
 /// report of free capacity costs one refusal in this time.
 const BUSY_TIME: Duration = Duration::from_millis(200);
+/// Smallest factor by which a query must have more time left than a refused one to be asked for again: the time left
+/// of queries of one kind varies by what they waited before.
+const MORE_TIME_FACTOR: f64 = 1.25;
 /// Time after which an aggregator without queries in flight is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(3);
 
@@ -124,9 +127,10 @@
         now < self.refused_at + BUSY_TIME
     }
 
-    /// Returns whether a query is no more urgent and has no more time than the refused one.
+    /// Returns whether a query is no more urgent and has hardly more time than the refused one.
     fn covers(&self, urgency: Urgency) -> bool {
-        urgency.priority >= self.urgency.priority && urgency.goal_left <= self.urgency.goal_left
+        let goal_left_max = self.urgency.goal_left.mul_f64(MORE_TIME_FACTOR);
+        urgency.priority >= self.urgency.priority && urgency.goal_left <= goal_left_max
     }
 }
 
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -214,6 +214,7 @@
         .mul_f64(ACCEPT_TIMEOUT_GOAL_FRACTION)
         .min(ACCEPT_TIMEOUT_MAX);
     let started_at = Instant::now();
+    let urgency = urgency(query);
     let request = PeerRequest::Gather(Box::new(build_request(query)));
     let _sent_query = SentQuery::begin(shared, aggregator);
     let call = shared.peer_client.call_with_accept_timeout(
@@ -228,7 +229,7 @@
         error = wait_until_dead(query, aggregator, liveness_delay) => Err(error),
     };
     let aggregation = match reply {
-        Ok(PeerReply::Gather(reply)) => handle_reply(query, aggregator, reply),
+        Ok(PeerReply::Gather(reply)) => handle_reply(query, aggregator, urgency, reply),
         // A process of an earlier release.
         Ok(_) => {
             let now = shared.now();
@@ -277,8 +278,13 @@
     }
 }
 
-/// Converts the reply of an aggregator.
-fn handle_reply(query: &QueryContext, aggregator: SocketAddr, reply: GatherReply) -> Aggregation {
+/// Converts the reply of an aggregator to a query that was this urgent when it was sent.
+fn handle_reply(
+    query: &QueryContext,
+    aggregator: SocketAddr,
+    urgency: Urgency,
+    reply: GatherReply,
+) -> Aggregation {
     let shared = &query.shared;
     match reply {
         GatherReply::Refused(refusal) => {
@@ -288,7 +294,6 @@
                     shared.peer_ejection().record_stopping(aggregator, now);
                 }
                 GatherRefusal::Busy => {
-                    let urgency = urgency(query);
                     shared
                         .aggregator_use()
                         .record_busy(aggregator, urgency, now);
