--- a/crates/limpet-decide/src/aggregator/aggregator_load.rs
+++ b/crates/limpet-decide/src/aggregator/aggregator_load.rs
@@ -46,6 +46,8 @@
     pub expected_wait: Duration,
     /// How far the estimate is relied on, from 0 to 1; less the older the report is.
     pub weight: f64,
+    /// Age of the report, if there is one.
+    pub age: Option<Duration>,
 }
 
 impl AggregatorLoad {
@@ -85,6 +87,7 @@
             limit,
             expected_wait,
             weight,
+            age: reported.map(|reported| reported.age),
         }
     }
 
@@ -92,6 +95,11 @@
     pub fn load(&self) -> f64 {
         self.in_use / self.limit
     }
+
+    /// Returns whether no further query can run at once.
+    pub fn is_full(&self) -> bool {
+        self.in_use >= self.limit
+    }
 }
 
 /// Returns whether a query with this latency goal must not wait for so long.
--- a/crates/limpet-decide/src/aggregator/mod.rs
+++ b/crates/limpet-decide/src/aggregator/mod.rs
@@ -13,6 +13,7 @@
 mod aggregator_use;
 mod choice;
 mod chooser;
+mod connection_share;
 mod directory;
 mod peer_ejection;
 mod query_rate;
@@ -23,12 +24,16 @@
         AggregatorLoad,
         OwnObservation, //
     },
-    aggregator_use::AggregatorUse,
+    aggregator_use::{
+        AggregatorUse,
+        Urgency, //
+    },
     choice::{
         AggregatorChoice,
         Place, //
     },
     chooser::AggregatorChooser,
+    connection_share::connections_limit,
     directory::{
         AggregatorDirectory,
         AggregatorNode, //
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -11,7 +11,9 @@
     aggregator::{
         AggregatorChoice,
         AggregatorLoad,
-        Place, //
+        OwnObservation,
+        Place,
+        Urgency, //
     },
     peer_load::ReportedGatherLoad,
 };
@@ -81,8 +83,9 @@
     let mut refused_by = Vec::new();
     let mut busy_count = 0;
     while refused_by.len() < AGGREGATORS_MAX {
-        let Place::At(aggregator) = choose_place(&query, &shard_shares, &refused_by) else {
-            break;
+        let aggregator = match choose_place(&query, &shard_shares, &refused_by) {
+            Place::At(aggregator) => aggregator,
+            Place::Here | Place::AllBusy => break,
         };
         match aggregate_at(&query, aggregator).await {
             Aggregation::Ended(outcome) => return outcome,
@@ -142,6 +145,7 @@
     let live_addrs = shared.membership().live_addrs(now);
     shared.remove_gone_aggregators();
     let own_gathers = shared.load_tracker().gathers();
+    let urgency = urgency(query);
     let peer_ejection = shared.peer_ejection();
     let peer_loads = shared.peer_loads();
     let aggregator_use = shared.aggregator_use();
@@ -166,7 +170,7 @@
         shard_shares,
         goal: query.route.latency_goal,
         is_usable: &is_usable,
-        is_busy: &|addr| aggregator_use.is_busy(addr, now),
+        is_busy: &|addr| aggregator_use.is_busy(addr, urgency, now),
         load_of: &load_of,
         refused_by,
         now,
@@ -175,6 +179,14 @@
     shared.choose_aggregator(&choice, &mut || rng.random_range(0.0..1.0))
 }
 
+/// Returns how urgent a query is.
+fn urgency(query: &QueryContext) -> Urgency {
+    Urgency {
+        priority: query.priority,
+        goal_left: query.goal_at.saturating_duration_since(Instant::now()),
+    }
+}
+
 /// Counts a query at an aggregator until it is dropped.
 struct SentQuery<'a> {
     shared: &'a SharedState,
@@ -211,6 +223,7 @@
         .mul_f64(ACCEPT_TIMEOUT_GOAL_FRACTION)
         .min(ACCEPT_TIMEOUT_MAX);
     let started_at = Instant::now();
+    let urgency = urgency(query);
     let request = PeerRequest::Gather(Box::new(build_request(query)));
     let _sent_query = SentQuery::begin(shared, aggregator);
     let call = shared.peer_client.call_with_accept_timeout(
@@ -225,7 +238,7 @@
         error = wait_until_dead(query, aggregator, liveness_delay) => Err(error),
     };
     let aggregation = match reply {
-        Ok(PeerReply::Gather(reply)) => handle_reply(query, aggregator, reply),
+        Ok(PeerReply::Gather(reply)) => handle_reply(query, aggregator, urgency, reply),
         // A process of an earlier release.
         Ok(_) => {
             let now = shared.now();
@@ -274,8 +287,13 @@
     }
 }
 
-/// Converts the reply of an aggregator.
-fn handle_reply(query: &QueryContext, aggregator: SocketAddr, reply: GatherReply) -> Aggregation {
+/// Converts the reply of an aggregator to a query that was this urgent when it was sent.
+fn handle_reply(
+    query: &QueryContext,
+    aggregator: SocketAddr,
+    urgency: Urgency,
+    reply: GatherReply,
+) -> Aggregation {
     let shared = &query.shared;
     match reply {
         GatherReply::Refused(refusal) => {
@@ -284,7 +302,11 @@
                 GatherRefusal::Stopping => {
                     shared.peer_ejection().record_stopping(aggregator, now);
                 }
-                GatherRefusal::Busy => shared.aggregator_use().record_busy(aggregator, now),
+                GatherRefusal::Busy => {
+                    shared
+                        .aggregator_use()
+                        .record_busy(aggregator, urgency, now);
+                }
                 GatherRefusal::OtherConfig => {}
             }
             tracing::info!(request_id = query.request_id(), %aggregator, ?refusal, "aggregator refused");
@@ -329,6 +351,13 @@
     }
 }
 
+/// Returns the capacity that a process announced, in cores.
+fn capacity_cores(shared: &SharedState, addr: SocketAddr) -> f64 {
+    let aggregators = shared.aggregators();
+    let node = aggregators.node(addr);
+    node.map_or(0.0, |node| node.capacity_cores)
+}
+
 /// Records whether an aggregator answered within the latency goal. A late answer counts as load.
 fn record_answer_time(query: &QueryContext, aggregator: SocketAddr) {
     let shared = &query.shared;
@@ -336,7 +365,13 @@
     if query.arrived_at.elapsed() <= query.route.latency_goal {
         shared.peer_ejection().record_success(aggregator, now);
     } else {
-        shared.peer_ejection().record_late(aggregator, now);
+        let reported = shared.peer_loads().gather_load(aggregator, now);
+        let is_full = reported.is_some_and(|reported| {
+            let observed = OwnObservation::default();
+            let cores = capacity_cores(shared, aggregator);
+            AggregatorLoad::estimate(Some(reported), observed, cores).is_full()
+        });
+        shared.peer_ejection().record_late(aggregator, is_full, now);
         shared.aggregator_use().record_late(aggregator, now);
     }
 }
