Check a configuration before it is sent

Cause: a configuration with a mistake takes effect in all processes within seconds; the gateway installs it, because it cannot tell a mistake from an intention.

--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod aggregator;
 pub mod cold_share;
+pub mod config_check;
 pub mod fair;
 pub mod freshness;
 pub mod grant;
