Add settings for the thresholds of the admission control

Cause: the limits of concurrent queries and the fraction of the latency goal at which they fall depend on the deployment.

The admission control does not read them yet.

--- a/crates/limpet-gateway/tests/support/deployment.rs
+++ b/crates/limpet-gateway/tests/support/deployment.rs
@@ -25,7 +25,8 @@
     SourceErrorKind,
     gateway,
     members::MembershipLimits,
-    retry_budget::RetryLimits, //
+    retry_budget::RetryLimits,
+    settings::OverloadSettings, //
 };
 use limpet_types::deployment::{
     CallerLimits,
@@ -341,6 +342,7 @@
         body_memory_bytes: 1 << 20,
         caller_connections_max: 100,
         shutdown_timeout: Duration::from_secs(2),
+        overload: OverloadSettings::default(),
     }
 }
 
