--- a/crates/limpet-decide/src/config_check/finding_kind.rs
+++ b/crates/limpet-decide/src/config_check/finding_kind.rs
@@ -36,7 +36,7 @@
     EmptyKey,
     /// The maximum number of attempts is zero.
     NoAttempts,
-    /// A limit is zero, so that nothing can be served.
+    /// A time, size or number is zero that must be positive for requests to be served as intended.
     ZeroLimit,
     /// A rate or burst is negative or not finite.
     InvalidRate,
@@ -52,13 +52,13 @@
     OpenPrefix,
     /// A team has no API keys.
     TeamWithoutKeys,
-    /// Requests need an API key, but there are none.
+    /// Requests need an API key, but there are none, so that all of them are refused.
     NoKeys,
     /// No route uses a service.
     UnusedService,
     /// The latency goal is longer than the timeout.
     GoalOverTimeout,
-    /// An incomplete answer is allowed, but the number of shards allows none.
+    /// An incomplete answer is allowed, but the coverage needs all of several shards.
     UnreachableCoverage,
     /// The burst of a rate limit is less than one request.
     BurstBelowOne,
@@ -89,12 +89,12 @@
             | Self::ZeroLimit
             | Self::InvalidRate
             | Self::InvalidCoverage
+            | Self::NoKeys
             | Self::VersionNotHigher => Severity::Error,
             Self::ShadowedRoute
             | Self::UnmatchablePrefix
             | Self::OpenPrefix
             | Self::TeamWithoutKeys
-            | Self::NoKeys
             | Self::UnusedService
             | Self::GoalOverTimeout
             | Self::UnreachableCoverage
--- a/crates/limpet-decide/tests/config_check.rs
+++ b/crates/limpet-decide/tests/config_check.rs
@@ -229,6 +229,68 @@
     );
 }
 
+/// Guards against a warning that cannot be avoided: an answer of one shard is never incomplete.
+#[test]
+fn coverage_of_one_shard_is_accepted() {
+    let mut config = config();
+    config
+        .routes
+        .push(route("only", "/only/", gather(&["a"], 0.95)));
+    assert_eq!(check(&config, None), []);
+}
+
+/// Guards against another severity than documented; the exit code of the check depends on it.
+fn severity_is_documented(kind: FindingKind) {
+    let name = format!("`{}`", kind.name());
+    let mut rows = include_str!("../../../docs/OPERATIONS.md")
+        .lines()
+        .filter(|line| line.starts_with("| `") && line.contains(&name));
+    let severity = match kind.severity() {
+        Severity::Error => "error",
+        Severity::Warning => "warning",
+    };
+    let row = rows.next().unwrap();
+    assert_eq!(row.split(" | ").nth(1), Some(severity), "{row}");
+    assert_eq!(rows.next(), None);
+}
+
+/// Guards against a kind that is missing in the documentation. `MoreAttemptsThanTargets` is left out: the command
+/// cannot report it.
+#[test]
+fn all_severities_are_documented() {
+    [
+        UnknownService,
+        EmptyHost,
+        EmptyPrefix,
+        EmptyName,
+        NoPositiveWeight,
+        InvalidWeight,
+        NoShards,
+        RepeatedShard,
+        DuplicateName,
+        DuplicateKey,
+        EmptyKey,
+        NoAttempts,
+        ZeroLimit,
+        InvalidRate,
+        InvalidCoverage,
+        VersionNotHigher,
+        ShadowedRoute,
+        UnmatchablePrefix,
+        OpenPrefix,
+        TeamWithoutKeys,
+        NoKeys,
+        UnusedService,
+        GoalOverTimeout,
+        UnreachableCoverage,
+        BurstBelowOne,
+        BurstWithoutRate,
+        WarmupWithoutRate,
+    ]
+    .into_iter()
+    .for_each(severity_is_documented);
+}
+
 /// Guards against attempts that no target is left for, and against a guess where the targets are not known.
 #[test]
 fn attempts_are_compared_with_known_targets_only() {
