--- a/crates/limpet-decide/src/lib.rs
+++ b/crates/limpet-decide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt_budget;
 pub mod balance;
 pub mod cold_share;
+pub mod config_check;
 pub mod fair;
 pub mod freshness;
 pub mod gather;
