Join the settings and the limits of the admission control

The settings had a struct with the same three fields as the decision. The gateway now passes its settings to the queues, which used the defaults before.

--- a/crates/limpet-gateway/src/query/admission_state.rs
+++ b/crates/limpet-gateway/src/query/admission_state.rs
@@ -12,7 +12,6 @@
 };
 
 use limpet_decide::admission::{
-    AdmissionLimits,
     AdmissionQueue,
     Arrival,
     Decision,
@@ -241,11 +240,8 @@
     fn new(shared: &SharedState, name: Box<str>) -> Self {
         let settings = &shared.settings;
         let queue_bytes_max = settings.body_memory_bytes / QUEUE_MEMORY_DIVISOR;
-        let queue = AdmissionQueue::new(
-            AdmissionLimits::default(),
-            settings.capacity_cores,
-            queue_bytes_max,
-        );
+        let queue =
+            AdmissionQueue::new(settings.overload, settings.capacity_cores, queue_bytes_max);
         let label = String::from(&*name);
         Self {
             queue,
--- a/crates/limpet-gateway/src/query/service_targets.rs
+++ b/crates/limpet-gateway/src/query/service_targets.rs
@@ -53,7 +53,7 @@
         let shared = &self.query.shared;
         let now = shared.now();
         let picked = self.with_criteria(needs_free_slot, true, |criteria| {
-            let fleet = shared.fleet();
+            let mut fleet = shared.fleet();
             match fleet.pick(criteria, now) {
                 Some(target) => Ok((target, criteria.connections_limit())),
                 None => Err(fleet.has_other_target(criteria, now)),
--- a/crates/limpet-gateway/src/settings.rs
+++ b/crates/limpet-gateway/src/settings.rs
@@ -5,9 +5,12 @@
     time::Duration, //
 };
 
-use limpet_decide::refresh::{
-    LapseLimits,
-    RefreshLimits, //
+use limpet_decide::{
+    admission::AdmissionLimits,
+    refresh::{
+        LapseLimits,
+        RefreshLimits, //
+    },
 };
 
 use crate::{
@@ -51,26 +54,5 @@
     /// Maximum time from the shutdown signal to the end of the process.
     pub shutdown_timeout: Duration,
     /// Thresholds of the admission control.
-    pub overload: OverloadSettings,
-}
-
-/// Thresholds of the admission control that depend on the deployment.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct OverloadSettings {
-    /// Concurrent queries of a group of services that a process admits after its start, per core.
-    pub initial_limit_per_core: f64,
-    /// Maximum number of concurrent queries of a group of services, per core.
-    pub max_limit_per_core: f64,
-    /// Fraction of the latency goal of a route above which a typical run time lowers the limit, from 0.1 to 1.
-    pub lower_at_goal_fraction: f64,
-}
-
-impl Default for OverloadSettings {
-    fn default() -> Self {
-        Self {
-            initial_limit_per_core: 16.0,
-            max_limit_per_core: 128.0,
-            lower_at_goal_fraction: 0.8,
-        }
-    }
+    pub overload: AdmissionLimits,
 }
--- a/crates/limpet-gateway/tests/support/deployment.rs
+++ b/crates/limpet-gateway/tests/support/deployment.rs
@@ -13,6 +13,7 @@
 };
 
 use http::HeaderName;
+use limpet_decide::admission::AdmissionLimits;
 use limpet_decide::refresh::{
     LapseLimits,
     RefreshLimits, //
@@ -25,8 +26,7 @@
     SourceErrorKind,
     gateway,
     members::MembershipLimits,
-    retry_budget::RetryLimits,
-    settings::OverloadSettings, //
+    retry_budget::RetryLimits, //
 };
 use limpet_types::deployment::{
     CallerLimits,
@@ -342,7 +342,7 @@
         body_memory_bytes: 1 << 20,
         caller_connections_max: 100,
         shutdown_timeout: Duration::from_secs(2),
-        overload: OverloadSettings::default(),
+        overload: AdmissionLimits::default(),
     }
 }
 
