Test the admission in the gateway, and tell Retry-After for shed queries of aggregators

Cause: a gather that no target of an aggregator ran was refused without Retry-After, and a limit that queries reached but did not exceed counted as pressure, so a route near its goal never learned its baseline.

Change: the error of a query that another process could not run gets the time to a retry. Only a query that finds no free permit counts as pressure.

--- a/crates/limpet-decide/src/admission/admission_queue.rs
+++ b/crates/limpet-decide/src/admission/admission_queue.rs
@@ -31,8 +31,8 @@
 const ARRIVAL_MARGIN_DEVIATIONS: f64 = 1.0;
 /// Multiple of its expected wait that a query must have left to be let into the queue, for the same reason.
 const ARRIVAL_WAIT_FACTOR: f64 = 1.1;
-/// Time for which run times do not belong to the baseline after the limit was reached: other processes that share the
-/// targets are probably loaded too.
+/// Time for which run times do not belong to the baseline after a query found no free permit: other processes that share
+/// the targets are probably loaded too.
 const PRESSED_TIME: Duration = Duration::from_secs(2);
 /// Time without a completed query of a route, as a multiple of its goal, after which one is admitted even if the
 /// known run time is too long.
@@ -103,7 +103,7 @@
     running_count: usize,
     /// Queries that run, by priority.
     running_by_priority: BTreeMap<u32, usize>,
-    /// When the limit was last reached.
+    /// When a query last found no free permit.
     pressed_at: Option<Duration>,
     next_id: u64,
     /// Rates at which queries start, by priority.
@@ -172,7 +172,11 @@
     /// Decides on a query that arrives. [`AdmissionQueue::take_verdicts`] must follow, because it may displace
     /// others.
     pub fn arrive(&mut self, arrival: Arrival, now: Duration) -> Decision {
-        if self.free_count() > 0 || self.may_borrow(arrival.priority) {
+        if self.free_count() > 0 {
+            return Decision::Start(self.start(&arrival, Duration::ZERO, now));
+        }
+        self.pressed_at = Some(now);
+        if self.may_borrow(arrival.priority) {
             return Decision::Start(self.start(&arrival, Duration::ZERO, now));
         }
         let ahead_count = self.waiting.count_before(arrival.priority, arrival.goal_at);
@@ -315,9 +319,6 @@
             .running_by_priority
             .entry(arrival.priority)
             .or_default() += 1;
-        if self.free_count() == 0 {
-            self.pressed_at = Some(now);
-        }
         Permit {
             priority: arrival.priority,
             route: arrival.route,
--- a/crates/limpet-decide/src/admission/concurrency_limit.rs
+++ b/crates/limpet-decide/src/admission/concurrency_limit.rs
@@ -78,7 +78,7 @@
     pub running_count: usize,
     /// Whether the limit was reached while it ran.
     pub is_limit_used: bool,
-    /// Whether the limit was reached a short time before it ended.
+    /// Whether a query found no free permit a short time before it ended.
     pub is_pressed: bool,
     /// How it ended.
     pub report: RunReport,
--- a/crates/limpet-decide/tests/admission.rs
+++ b/crates/limpet-decide/tests/admission.rs
@@ -229,6 +229,20 @@
     let _ = wait(&mut queue, arrival(0, now + GOAL), now);
 }
 
+/// Guards against a process that refuses queries, or lets any number of them run, before it knows a run time.
+#[test]
+fn process_that_starts_lets_queries_wait_until_the_end_of_their_goal() {
+    let mut queue = queue();
+    let _running = [(); 2].map(|()| start(&mut queue, arrival(0, ms(100)), ms(0)));
+    let ids = [(); 8].map(|()| wait(&mut queue, arrival(0, ms(100)), ms(0)));
+    assert!(matches!(
+        queue.arrive(arrival(0, ms(100)), ms(0)),
+        Decision::Refuse(_)
+    ));
+    assert!(queue.check(ids[0], ms(100)).is_some());
+    assert_eq!(queue.check(ids[0], ms(101)), None);
+}
+
 /// Guards against a route that is refused for good because of run times from long ago.
 #[test]
 fn route_without_recent_run_times_is_probed() {
--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -42,6 +42,7 @@
         RequestError,
         RequestErrorKind,
         RunStatistics,
+        complete_error,
         request_fingerprint,
         run_placed_gather,
         run_split, //
@@ -166,10 +167,11 @@
         log_fields,
     )?;
     let query = Arc::new(query);
-    match &query.route.destination {
+    let outcome = match &query.route.destination {
         Destination::Split(split) => run_split(Arc::clone(&query), split).await,
         Destination::ScatterGather(gather) => run_placed_gather(Arc::clone(&query), gather).await,
-    }
+    };
+    outcome.map_err(|error| complete_error(&query, error))
 }
 
 /// Returns the timeout that the caller sent, if any.
--- a/crates/limpet-gateway/src/query/admission.rs
+++ b/crates/limpet-gateway/src/query/admission.rs
@@ -1,6 +1,7 @@
 //! Lets a query run once its group of services has capacity, or refuses it.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -10,6 +11,7 @@
         Arrival,
         Decision,
         Refusal,
+        RefusalReason,
         RunReport,
         retry_after, //
     },
@@ -17,7 +19,6 @@
 };
 use limpet_types::deployment::ScatterGather;
 use rand::Rng;
-use std::net::SocketAddr;
 use tokio::{
     sync::oneshot,
     time::{
@@ -44,8 +45,8 @@
 
 /// Shortest time between two checks of a query that waits, the resolution of the timer.
 const CHECK_INTERVAL_MIN: Duration = Duration::from_millis(1);
-/// Part of the goal after which a caller whose query several aggregators refused should retry, if none of them
-/// reported its expected wait.
+/// Part of the goal after which a caller should retry if the process that refused its query did not report its expected
+/// wait.
 const BUSY_RETRY_GOAL_DIVISOR: u32 = 4;
 
 /// Runs a scatter-gather query in this process once its group has capacity, or refuses it.
@@ -175,7 +176,7 @@
 /// Returns the refusal of a query whose group has been removed.
 const fn closed_refusal() -> Refusal {
     Refusal {
-        reason: limpet_decide::admission::RefusalReason::Late,
+        reason: RefusalReason::Late,
         expected_wait: Duration::ZERO,
     }
 }
@@ -196,19 +197,36 @@
         drop(permit);
     }
     outcome.map_err(|error| {
-        let is_shed = matches!(
-            error.kind,
-            RequestErrorKind::Shed | RequestErrorKind::CoverageLow
-        );
-        if !error.is_not_run || error.retry_after.is_some() || !is_shed {
-            return error;
-        }
-        let admission = query.shared.admission();
-        let expected_wait = admission.retry_wait(&query.shared, key, query.priority);
-        error.with_retry_after(draw_retry_after(query, expected_wait))
+        with_retry_after(query, error, || {
+            let admission = query.shared.admission();
+            admission.retry_wait(&query.shared, key, query.priority)
+        })
     })
 }
 
+/// Adds the time to a retry to the error of a query that another process could not run, if it is missing.
+pub fn complete_error(query: &QueryContext, error: RequestError) -> RequestError {
+    with_retry_after(query, error, || {
+        query.route.latency_goal / BUSY_RETRY_GOAL_DIVISOR
+    })
+}
+
+/// Adds the time to a retry to an error if no target ran the query and the time is missing.
+fn with_retry_after(
+    query: &QueryContext,
+    error: RequestError,
+    expected_wait: impl FnOnce() -> Duration,
+) -> RequestError {
+    let is_shed = matches!(
+        error.kind,
+        RequestErrorKind::Shed | RequestErrorKind::CoverageLow
+    );
+    if !error.is_not_run || error.retry_after.is_some() || !is_shed {
+        return error;
+    }
+    error.with_retry_after(draw_retry_after(query, expected_wait()))
+}
+
 /// Returns what the admission control learns from a query.
 fn run_report(query: &QueryContext, outcome: &Outcome, part_count: usize) -> RunReport {
     let statistics = &query.run_statistics;
--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -18,6 +18,7 @@
 mod split;
 
 pub use self::{
+    admission::complete_error,
     admission_state::AdmissionState,
     aggregation::serve_aggregation,
     crash_check::is_no_listener,
--- /dev/null
+++ b/crates/limpet-gateway/tests/admission.rs
@@ -0,0 +1,140 @@
+//! Queries that wait for capacity, or are refused because they could not be in time.
+
+mod support;
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use futures::future::join_all;
+use limpet_types::{
+    deployment::Idempotency,
+    message::{
+        GatherRefusal,
+        GatherReply,
+        PeerReply, //
+    },
+};
+use support::{
+    Behaviour,
+    Deployment,
+    FakePeer,
+    FakeTarget,
+    PEER_PORT,
+    Reply,
+    RunningGateway,
+    config,
+    get,
+    route,
+    scatter_gather_route,
+    settings,
+    target_record,
+    unused_loopback_ip, //
+};
+use tokio::time::sleep;
+
+/// Capacity of a process that runs two queries of a group at a time when it starts.
+const SMALL_CAPACITY_CORES: f64 = 0.1;
+/// Time in which the target answers; the goal of the route is 400 ms.
+const REPLY_DELAY: Duration = Duration::from_millis(100);
+/// Time after which all processes know each other.
+const DISCOVERY_TIME: Duration = Duration::from_millis(800);
+
+/// Starts a small gateway with a route to one target.
+async fn start_gateway() -> (RunningGateway, FakeTarget) {
+    let target = FakeTarget::always(Behaviour::Answer(200, b"good", REPLY_DELAY)).await;
+    let deployment = Deployment::new();
+    // Without hedges, so that each request reaches the target once.
+    let route = route("/one/", Idempotency::AtMostOnce, "s");
+    deployment.publish_config(config(1, vec![route], &["s"]));
+    deployment.publish_target("t", target_record("s", target.addr));
+    let mut settings = settings(&unused_loopback_ip(), PEER_PORT).await;
+    settings.capacity_cores = SMALL_CAPACITY_CORES;
+    let gateway = RunningGateway::start_with(settings, &deployment).await;
+    gateway.wait_ready().await;
+    (gateway, target)
+}
+
+/// Checks that a reply refuses a query as not run, with a time for the retry.
+fn check_refused(reply: &Reply) {
+    assert_eq!((reply.status, &*reply.body), (503, &b"overloaded"[..]));
+    let retry_after_s: f64 = reply.header("retry-after").parse().unwrap();
+    assert!((0.05..0.667).contains(&retry_after_s), "{retry_after_s}");
+}
+
+/// Guards against refused requests that run nevertheless, and against requests that wait for a refusal.
+#[tokio::test]
+async fn requests_beyond_the_capacity_are_refused_at_once_and_do_not_run() {
+    let (gateway, target) = start_gateway().await;
+    for _ in 0..3 {
+        assert_eq!(get(gateway.caller_addr, "/one/a").await.status, 200);
+    }
+    let replies = join_all((0..30).map(|_| async {
+        let started = Instant::now();
+        let reply = get(gateway.caller_addr, "/one/a").await;
+        (reply, started.elapsed())
+    }));
+    let (served, refused): (Vec<_>, Vec<_>) = replies
+        .await
+        .into_iter()
+        .partition(|(reply, _)| reply.status == 200);
+    assert!(served.len() >= 4, "{} served", served.len());
+    assert!(refused.len() >= 10, "{} refused", refused.len());
+    assert_eq!(target.received_requests().len(), 3 + served.len());
+    let mut times: Vec<Duration> = refused.iter().map(|(_, time)| *time).collect();
+    times.sort_unstable();
+    assert!(times[times.len() * 9 / 10 - 1] < REPLY_DELAY, "{times:?}");
+    for (reply, _) in &refused {
+        check_refused(reply);
+    }
+}
+
+/// Guards against requests that are sent to a target although their callers have left the queue.
+#[tokio::test]
+async fn request_whose_caller_disconnects_in_the_queue_does_not_run() {
+    let (gateway, target) = start_gateway().await;
+    let addr = gateway.caller_addr;
+    let running = [(); 2].map(|()| tokio::spawn(get(addr, "/one/a")));
+    sleep(REPLY_DELAY / 4).await;
+    let waiting = tokio::spawn(get(addr, "/one/b"));
+    sleep(REPLY_DELAY / 4).await;
+    waiting.abort();
+    for reply in running {
+        assert_eq!(reply.await.unwrap().status, 200);
+    }
+    sleep(REPLY_DELAY).await;
+    assert_eq!(target.received_requests().len(), 2);
+    // The place in the queue and both permits are free again.
+    let replies = join_all((0..2).map(|_| get(addr, "/one/c"))).await;
+    assert!(replies.iter().all(|reply| reply.status == 200));
+}
+
+/// Guards against running a query on few connections after two aggregators refused it because they are busy.
+#[tokio::test]
+async fn query_that_two_aggregators_refuse_as_busy_is_refused() {
+    let target = FakeTarget::always(Behaviour::Answer(200, b"aaaaaaaaaaaaaaaa", REPLY_DELAY)).await;
+    let deployment = Deployment::new();
+    let mut config = config(1, vec![scatter_gather_route("/all/", &["s"], 1.0)], &["s"]);
+    config.services[0].connections_max = 1;
+    deployment.publish_config(config);
+    deployment.publish_target("t", target_record("s", target.addr));
+    let mut settings = settings(&unused_loopback_ip(), PEER_PORT).await;
+    settings.capacity_cores = SMALL_CAPACITY_CORES;
+    let gateway = RunningGateway::start_with(settings, &deployment).await;
+    gateway.wait_ready().await;
+    let mut peers = Vec::new();
+    // One more than are asked, so that the gateway's own place among the largest is never drawn.
+    for _ in 0..3 {
+        let report_to = [gateway.peer_addr];
+        let ip = unused_loopback_ip();
+        let peer = FakePeer::start(&ip, 4.0, &report_to, |_| async {
+            PeerReply::Gather(GatherReply::Refused(GatherRefusal::Busy))
+        });
+        peers.push(peer.await);
+    }
+    sleep(DISCOVERY_TIME).await;
+    let reply = get(gateway.caller_addr, "/all/q").await;
+    check_refused(&reply);
+    assert!(target.received_requests().is_empty());
+}
--- a/crates/limpet-gateway/tests/late_requests.rs
+++ b/crates/limpet-gateway/tests/late_requests.rs
@@ -5,20 +5,27 @@
 use std::time::Duration;
 
 use http::Method;
-use limpet_gateway::rate::{
-    TokenBucket, //
-    WaitTimeEstimator,
+use limpet_gateway::{
+    SharedState,
+    rate::{
+        TokenBucket,
+        WaitTimeEstimator, //
+    },
 };
 use limpet_types::deployment::Idempotency;
 use support::{
     Behaviour,
     Deployment,
     FakeTarget,
+    PEER_PORT,
     RunningGateway,
     call,
     config,
+    header_names,
     route,
-    target_record, //
+    settings,
+    target_record,
+    unused_loopback_ip, //
 };
 use tokio::time::sleep;
 
@@ -93,6 +100,20 @@
     waited
 }
 
+/// Guards against callers without a team whose retries count as first attempts.
+#[tokio::test]
+async fn wait_of_a_caller_without_a_team_is_known() {
+    let settings = settings(&unused_loopback_ip(), PEER_PORT).await;
+    let shared = SharedState::new(settings, header_names());
+    let route = route("/one/", Idempotency::Idempotent, "s");
+    let waited = |timeout| shared.record_caller_timeout(&route, "", timeout);
+    for _ in 0..20 {
+        assert_eq!(waited(FIRST_ATTEMPT_TIMEOUT), Duration::ZERO);
+    }
+    let expected = FIRST_ATTEMPT_TIMEOUT - RETRY_TIMEOUT;
+    assert_eq!(waited(RETRY_TIMEOUT), expected);
+}
+
 /// Defines one test per sequence of timeouts, which checks the estimate for the last one.
 macro_rules! estimate_tests {
     ($($name:ident => $timeouts:expr, $is_expected:expr;)+) => {
