Test that a light load is admitted without refusals

Cause: no check showed that the admission control leaves a site without overload as it is.

Change: runs at 0.2 and 0.5 of the capacity, with 1 and with 8 processes, must refuse nothing and lose less than a hundredth of the answers in time against a run without admission control.

--- a/crates/limpet-decide/tests/admission_overload.rs
+++ b/crates/limpet-decide/tests/admission_overload.rs
@@ -137,3 +137,27 @@
     no_admission_control_at_3_times_the_capacity => 3.0,
     no_admission_control_at_4_times_the_capacity => 4.0,
 }
+
+fn refuses_nothing((load, scene): (f64, Scene)) {
+    let results = run(&kinds(load, scene), scene);
+    let refused_count: u32 = results.iter().map(|result| result.refused_count).sum();
+    assert_eq!(refused_count, 0, "load {load}, {scene:?}: {results:#?}");
+    let without = run(
+        &kinds(load, scene),
+        Scene {
+            is_admission_on: false,
+            ..scene
+        },
+    );
+    let lost_count = in_time_count(&without).saturating_sub(in_time_count(&results));
+    assert!(lost_count * 100 < in_time_count(&without), "{lost_count}");
+}
+
+// Guards against an admission control that refuses or delays queries without overload.
+limpet_testkit::cases! {
+    refuses_nothing:
+    one_process_at_a_fifth_of_the_capacity => (0.2, SINGLE),
+    one_process_at_half_of_the_capacity => (0.5, SINGLE),
+    eight_processes_at_a_fifth_of_the_capacity => (0.2, SHARED),
+    eight_processes_at_half_of_the_capacity => (0.5, SHARED),
+}
