--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -23,6 +23,7 @@
 mod split;
 
 pub use self::{
+    admission::complete_error,
     admission_state::AdmissionState,
     aggregation::serve_aggregation,
     crash_check::is_no_listener,
