--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -6,7 +6,6 @@
     time::Duration, //
 };
 
-use limpet_decide::aggregator::connections_limit;
 use limpet_types::deployment::TargetId;
 use rand::Rng;
 
@@ -58,7 +57,11 @@
     pub fn connections_limit(&self) -> usize {
         let usable_connection_count = f64::from(self.connections_max) * USABLE_CONNECTIONS_FRACTION;
         let share = connections_share(self.connections_max, self.process_count);
-        connections_limit(usable_connection_count, share, self.aggregator_count)
+        limpet_decide::aggregator::connections_limit(
+            usable_connection_count,
+            share,
+            self.aggregator_count,
+        )
     }
 
     /// Returns whether this process may send a request to a target now as far as its warm-up goes.
