--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -85,7 +85,8 @@
     while refused_by.len() < AGGREGATORS_MAX {
         let aggregator = match choose_place(&query, &shard_shares, &refused_by) {
             Place::At(aggregator) => aggregator,
-            Place::Here | Place::AllBusy => break,
+            Place::Here => break,
+            Place::AllBusy => return Err(refuse_busy(&query, &refused_by)),
         };
         match aggregate_at(&query, aggregator).await {
             Aggregation::Ended(outcome) => return outcome,
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -7,7 +7,6 @@
 };
 
 use limpet_decide::{
-    aggregator::connections_limit,
     balance::{
         Availability,
         Candidate,
@@ -64,7 +63,11 @@
     pub fn connections_limit(&self) -> usize {
         let usable_connection_count = f64::from(self.connections_max) * USABLE_CONNECTIONS_FRACTION;
         let share = connections_share(self.connections_max, self.process_count);
-        connections_limit(usable_connection_count, share, self.aggregator_count)
+        limpet_decide::aggregator::connections_limit(
+            usable_connection_count,
+            share,
+            self.aggregator_count,
+        )
     }
 
     /// Returns what the choice depends on for one target.
