Lower the limit only while the needed services lack free slots

Cause: slow, pausing or rejecting targets lengthen gathers at any concurrency, and the limit fell to two queries for ten seconds. The use of the slots, smoothed over a second and taken at the coverage that an answer needs, tells such faults from overload.

--- a/crates/limpet-decide/src/admission/admission_queue.rs
+++ b/crates/limpet-decide/src/admission/admission_queue.rs
@@ -13,6 +13,7 @@
     CompletedRun,
     ConcurrencyLimit,
     RunReport,
+    ServicePressure,
     WaitingQueue,
     waiting_queue::Waiting, //
 };
@@ -20,6 +21,9 @@
 
 /// Number of queries that may wait, as a multiple of those that may run.
 const QUEUE_LENGTH_FACTOR: usize = 4;
+/// Requests in flight per slot up to which services have free slots. Requests do not arrive evenly, so some wait well
+/// before all slots are in use.
+const FREE_SLOTS_PRESSURE_MAX: f64 = 0.8;
 /// Smallest fraction of the permits that a priority can count on while more urgent queries wait.
 const LOWER_PRIORITY_FRACTION: f64 = 0.125;
 /// Fraction of the limit by which more urgent queries may exceed it while less urgent ones run, at least one query.
@@ -99,6 +103,7 @@
 pub struct AdmissionQueue {
     limit: ConcurrencyLimit,
     waiting: WaitingQueue,
+    pressure: ServicePressure,
     queue_bytes_max: usize,
     running_count: usize,
     /// Queries that run, by priority.
@@ -136,6 +141,7 @@
         Self {
             limit: ConcurrencyLimit::new(limits, capacity_cores),
             waiting: WaitingQueue::default(),
+            pressure: ServicePressure::default(),
             queue_bytes_max,
             running_count: 0,
             running_by_priority: BTreeMap::new(),
@@ -212,6 +218,19 @@
         }
     }
 
+    /// Records the requests in flight per slot of the services, and returns whether those that an answer needs have
+    /// free slots.
+    pub fn record_pressure(
+        &mut self,
+        in_flight_per_slot: &[f64],
+        needed_count: usize,
+        now: Duration,
+    ) -> bool {
+        self.pressure.record(in_flight_per_slot, now);
+        let pressure = self.pressure.of_needed(needed_count);
+        pressure.is_some_and(|pressure| pressure < FREE_SLOTS_PRESSURE_MAX)
+    }
+
     /// Takes back the permit of a query that ended, and learns from it.
     pub fn finish(&mut self, permit: Permit, report: &RunReport, now: Duration) {
         self.release(permit.priority);
--- a/crates/limpet-decide/src/admission/concurrency_limit.rs
+++ b/crates/limpet-decide/src/admission/concurrency_limit.rs
@@ -39,6 +39,8 @@
 const REJECTION_WEIGHT: f64 = 0.1;
 /// Time for which a route without queries keeps its say in a rise of the limit.
 const ROUTE_ACTIVE_TIME: Duration = Duration::from_secs(1);
+/// Rise of the limit in as many queries as it allows, while the services are known to have free slots.
+const FREE_SLOTS_RISE: f64 = 4.0;
 /// Fraction of the limit up to which concurrency is low, so that run times belong to the baseline.
 const LOW_CONCURRENCY_FRACTION: f64 = 0.25;
 /// Number of routes whose run times are kept; the route without queries for the longest time is dropped.
@@ -53,6 +55,9 @@
     pub is_in_time: bool,
     /// Whether the answer left before all parts had arrived, so that the run time was cut short by the wait.
     pub is_cut: bool,
+    /// Whether the services that an answer needs have free slots, as far as this process knows; if so, its queries are
+    /// not slow because many run at a time.
+    pub has_free_slots: bool,
     /// Number of parts.
     pub part_count: u32,
     /// Number of parts that failed for good because targets rejected them.
@@ -160,6 +165,7 @@
         let runs = self.route_runs(run.route);
         // A limit that is not reached does not cause the run times, so its fall would not shorten them.
         let is_slow = run.is_pressed
+            && !run.report.has_free_slots
             && run.report.has_run_time
             && runs.with_deviations(SLOW_DEVIATIONS) > self.decrease_time(run.goal)
             && runs.mean() > runs.baseline().mul_f64(DECREASE_BASELINE_FACTOR);
@@ -168,6 +174,8 @@
                 self.limit = (self.limit * DECREASE_FACTOR).max(self.min);
                 self.decreased_at = Some(now);
             }
+        } else if run.is_limit_used && run.report.has_free_slots {
+            self.limit = (self.limit + FREE_SLOTS_RISE / self.limit).min(self.max);
         } else if run.is_limit_used && run.report.is_in_time && self.may_rise(run.route, now) {
             self.limit = (self.limit + 1.0 / self.limit).min(self.max);
         }
--- a/crates/limpet-decide/src/admission/mod.rs
+++ b/crates/limpet-decide/src/admission/mod.rs
@@ -10,6 +10,7 @@
 mod refusal_episode;
 mod retry_after;
 mod route_runs;
+mod service_pressure;
 mod waiting_queue;
 
 pub use self::{
@@ -33,6 +34,7 @@
     },
     retry_after::retry_after,
     route_runs::RouteRuns,
+    service_pressure::ServicePressure,
     waiting_queue::{
         Arrival,
         WaitingQueue, //
--- a/crates/limpet-gateway/src/query/admission.rs
+++ b/crates/limpet-gateway/src/query/admission.rs
@@ -15,6 +15,7 @@
         RunReport,
         retry_after, //
     },
+    gather::Parts,
     peer_load::name_hash,
 };
 use limpet_types::deployment::ScatterGather;
@@ -49,12 +50,26 @@
 /// wait.
 const BUSY_RETRY_GOAL_DIVISOR: u32 = 4;
 
+/// Use of the services of a group.
+struct ServiceUse<'a> {
+    /// Requests in flight per slot of each service; empty if that is not known.
+    in_flight_per_slot: &'a [f64],
+    /// Number of services that an answer needs.
+    needed_count: usize,
+}
+
 /// Runs a scatter-gather query in this process once its group has capacity, or refuses it.
 pub(super) async fn run_admitted(query: Arc<QueryContext>, gather: &ScatterGather) -> Outcome {
     let key = GroupKey::of_gather(gather);
     let permit = wait_for_permit(&query, key, || gather_group_name(gather)).await?;
     let outcome = run_scatter_gather(Arc::clone(&query), gather).await;
-    end_run(&query, permit, key, outcome, gather.shards.len())
+    let in_flight_per_slot = query.shared.in_flight_per_slot(&gather.shards);
+    let needed_count = Parts::new(gather.shards.len(), gather.coverage_min).needed_count;
+    let services = ServiceUse {
+        in_flight_per_slot: &in_flight_per_slot,
+        needed_count,
+    };
+    end_run(&query, permit, key, outcome, gather.shards.len(), &services)
 }
 
 /// Runs a request at one target of a service once the service has capacity, or refuses it.
@@ -70,7 +85,11 @@
         }),
         Err(error) => Err(RequestError::may_have_run(error.kind)),
     };
-    end_run(&query, permit, key, outcome, 1)
+    let services = ServiceUse {
+        in_flight_per_slot: &[],
+        needed_count: 1,
+    };
+    end_run(&query, permit, key, outcome, 1, &services)
 }
 
 /// Returns the refusal of a query that all asked aggregators refused because others wait there.
@@ -188,11 +207,12 @@
     key: GroupKey,
     outcome: Outcome,
     part_count: usize,
+    services: &ServiceUse<'_>,
 ) -> Outcome {
     let report = run_report(query, &outcome, part_count);
     // A query for which nothing was sent says nothing about the targets.
     if report.has_run_time || report.attempt_count > 0 {
-        permit.finish(&report);
+        permit.finish(report, services.in_flight_per_slot, services.needed_count);
     } else {
         drop(permit);
     }
@@ -246,6 +266,7 @@
         has_run_time: is_timed_out || (outcome.is_ok() && !is_server_error),
         is_in_time: outcome.is_ok() && Instant::now() <= query.goal_at,
         is_cut: outcome.is_ok() && arrived_count < part_count,
+        has_free_slots: false,
         part_count,
         // Parts that targets rejected and that others answered in the end are no sign of overload.
         failed_part_count: rejected_count.min(part_count - arrived_count),
--- a/crates/limpet-gateway/src/query/admission_state.rs
+++ b/crates/limpet-gateway/src/query/admission_state.rs
@@ -107,12 +107,23 @@
         self.permit.as_ref().map_or(Duration::ZERO, Permit::waited)
     }
 
-    /// Gives back the permit of a query that ran.
-    pub(super) fn finish(mut self, report: &RunReport) {
+    /// Gives back the permit of a query that ran. `in_flight_per_slot` holds the use of the services as far as it is
+    /// known, of which an answer needs `needed_count`.
+    pub(super) fn finish(
+        mut self,
+        report: RunReport,
+        in_flight_per_slot: &[f64],
+        needed_count: usize,
+    ) {
         if let Some(permit) = self.permit.take() {
             let admission = self.shared.admission();
             admission.update(&self.shared, self.key, |queue, now| {
-                queue.finish(permit, report, now);
+                let has_free_slots = queue.record_pressure(in_flight_per_slot, needed_count, now);
+                let report = RunReport {
+                    has_free_slots,
+                    ..report
+                };
+                queue.finish(permit, &report, now);
             });
         }
     }
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -413,6 +413,28 @@
         SlackShare::new(use_share, process_counts.total, process_counts.silent)
     }
 
+    /// Returns for each service the requests of this process in flight per slot of its share of the targets.
+    ///
+    /// The share is its part of the reported requests for the service; without reports it is equal to that of any other
+    /// process.
+    pub fn in_flight_per_slot(&self, services: &[Box<str>]) -> Vec<f64> {
+        let now = self.now();
+        // All services of a group get the same requests.
+        let share = services.first().and_then(|service| {
+            let service = name_hash(service);
+            let own_per_s = self.load_tracker().reported_rate(service)?;
+            self.peer_loads().service_share(service, own_per_s, now)
+        });
+        let process_count = self.rate_limiter().process_counts().total.max(1);
+        let share = share.unwrap_or(1.0 / process_count as f64);
+        let fleet = self.fleet();
+        let in_flight_per_slot = |service: &Box<str>| {
+            let (in_flight_count, slot_count) = fleet.in_flight_and_slot_counts(service, now);
+            f64::from(in_flight_count) / (f64::from(slot_count) * share).max(f64::MIN_POSITIVE)
+        };
+        services.iter().map(in_flight_per_slot).collect()
+    }
+
     /// Records a request for a service in its retry budget and in the load that this process reports.
     pub fn record_service_request(&self, service: &str) {
         let now = self.now();
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -317,6 +317,22 @@
             .collect()
     }
 
+    /// Returns the requests of this process in flight to a service, and the slots of its targets that accept new
+    /// requests.
+    pub fn in_flight_and_slot_counts(&self, service: &str, now: Duration) -> (u32, u32) {
+        let targets = self.by_service.get(service);
+        let usable = targets
+            .into_iter()
+            .flatten()
+            .filter(|target| target.allows_request(now));
+        usable.fold((0, 0), |(in_flight_count, slot_count), target| {
+            (
+                in_flight_count + target.in_flight_count(),
+                slot_count + target.slots,
+            )
+        })
+    }
+
     /// Returns whether a service has a target that accepts new requests and is not ejected.
     pub fn has_healthy_target(&self, service: &str, now: Duration) -> bool {
         let targets = self.by_service.get(service);
