--- a/crates/limpet-gateway/src/query/service_targets.rs
+++ b/crates/limpet-gateway/src/query/service_targets.rs
@@ -32,6 +32,8 @@
     query: Arc<QueryContext>,
     service: Box<str>,
     pub(super) asked: AskedTargets,
+    /// Whether the latest attempt was recorded as slow; each counts once against the health of its target.
+    is_straggler_recorded: bool,
 }
 
 impl ServiceTargets {
@@ -41,6 +43,7 @@
             query,
             service: service.into(),
             asked: AskedTargets::default(),
+            is_straggler_recorded: false,
         }
     }
 
@@ -70,6 +73,7 @@
         };
         if let Some((target, _)) = &picked {
             self.asked.record_attempt(&target.id);
+            self.is_straggler_recorded = false;
         }
         picked
     }
@@ -110,7 +114,10 @@
     }
 
     /// Records that the latest attempt that may run takes long.
-    pub(super) fn record_straggler(&self, waited: Duration) {
+    pub(super) fn record_straggler(&mut self, waited: Duration) {
+        if std::mem::replace(&mut self.is_straggler_recorded, true) {
+            return;
+        }
         let shared = &self.query.shared;
         let route = &self.query.route.name;
         let mean_latency = shared.with_route_latency(route, |latency| latency.mean());
