Weight reported requests in flight by the time that requests take

Change: the weight by requests in flight grows with their mean time in flight, up to the full weight at one second.

--- a/crates/limpet-decide/src/balance/choice.rs
+++ b/crates/limpet-decide/src/balance/choice.rs
@@ -4,6 +4,7 @@
     Availability,
     Candidate, //
 };
+use crate::peer_load::TARGET_REQUESTS_TIME;
 
 /// Added cost of a target in another zone, relative to a request of mean latency.
 const CROSS_ZONE_COST: f64 = 0.35;
@@ -28,8 +29,11 @@
 /// before they hear of each other, and requests wait longer where the slots are well used; with 4, single runs of 30 s
 /// over 34 targets reached 1.25 times the mean.
 const REQUESTS_GAIN: f64 = 6.0;
-/// Decrease of the weight of a target by requests in flight beyond the mean, for each of its slots.
-const IN_FLIGHT_GAIN: f64 = 1.0;
+/// Largest decrease of the weight of a target by requests in flight beyond the mean, for each of its slots.
+const IN_FLIGHT_GAIN_MAX: f64 = 1.0;
+/// Time in flight at which this decrease is reached. Requests that are much shorter have ended before others hear of
+/// them: a target that paused would be avoided when it is idle again.
+const IN_FLIGHT_TIME_S: f64 = 1.0;
 /// Smallest part of its share that the load of a target leaves it, so that a false report doesn't empty it.
 const BALANCE_MIN: f64 = 0.1;
 /// Largest weight that a target gets for its lack of load, relative to one of mean load.
@@ -199,6 +203,8 @@
     requests: f64,
     own_requests: f64,
     in_flight: f64,
+    /// Decrease of the weight by requests in flight beyond the mean, for each slot.
+    in_flight_gain: f64,
     /// Added cost of a target in another zone.
     cross_zone_cost: f64,
 }
@@ -222,12 +228,18 @@
             true => (zone_requests / zone_slots) / (requests / slots),
             false => 0.0,
         };
+        // The mean number in flight is the rate times the mean time in flight.
+        let time_in_flight_s = match requests > 0.0 {
+            true => in_flight * TARGET_REQUESTS_TIME.as_secs_f64() / requests,
+            false => 0.0,
+        };
         let preference = (ZONE_LOAD_MAX - zone_load) / (ZONE_LOAD_MAX - ZONE_LOAD_PREFERRED);
         Self {
             slots,
             requests,
             own_requests,
             in_flight,
+            in_flight_gain: (time_in_flight_s / IN_FLIGHT_TIME_S).min(IN_FLIGHT_GAIN_MAX),
             cross_zone_cost: CROSS_ZONE_COST * preference.clamp(0.0, 1.0),
         }
     }
@@ -258,7 +270,7 @@
         let excess = self.excess(candidate);
         let in_flight = (candidate.own_in_flight + candidate.reported_in_flight) / candidate.slots
             - self.in_flight / self.slots.max(1.0);
-        let balance = (1.0 - REQUESTS_GAIN * excess - IN_FLIGHT_GAIN * in_flight)
+        let balance = (1.0 - REQUESTS_GAIN * excess - self.in_flight_gain * in_flight)
             .clamp(BALANCE_MIN, BALANCE_MAX);
         let zone = match candidate.is_own_zone {
             true => 1.0,
--- a/crates/limpet-decide/tests/balance_failures.rs
+++ b/crates/limpet-decide/tests/balance_failures.rs
@@ -36,6 +36,7 @@
     service_time: Duration::from_millis(220),
     speed_factors: (1.0, 1.0),
     report_loss: 0.0,
+    pauses: None,
     report_delay: Duration::ZERO,
     reports_stop: false,
     false_reports: None,
@@ -72,6 +73,49 @@
     assert!(chosen.rejected_share * 2.0 < without_reports.rejected_share);
 }
 
+/// Guards against reports that are worse than none where requests are much shorter than the time between reports:
+/// aggregators that send the parts of their queries to the three targets of a shard, which pause.
+fn short_requests_to_pausing_targets((requests_per_s, speed_factors): (f64, (f64, f64))) {
+    let scenario = Scenario {
+        process_zones: &[3, 3, 3],
+        target_zones: &[1, 1, 1],
+        slots: 6,
+        requests_per_s,
+        service_time: Duration::from_millis(28),
+        pauses: Some((Duration::from_secs(6), Duration::from_millis(250))),
+        speed_factors,
+        ..SCENARIO
+    };
+    let chosen = mean(&scenario);
+    let without_reports = mean(&Scenario {
+        policy: Policy::WithoutReports,
+        ..scenario
+    });
+    let before = mean(&Scenario {
+        policy: Policy::OwnObservations,
+        ..scenario
+    });
+    assert!(
+        chosen.latency < before.latency.mul_f64(1.05),
+        "{chosen:?}, {before:?}"
+    );
+    assert!(
+        chosen.late_share < before.late_share * 1.1,
+        "{chosen:?}, {before:?}"
+    );
+    assert!(
+        chosen.latency < without_reports.latency.mul_f64(1.1),
+        "{without_reports:?}"
+    );
+}
+
+limpet_testkit::cases! {
+    short_requests_to_pausing_targets:
+    usual_load_of_a_shard => (120.0, (1.0, 1.0)),
+    high_load_of_a_shard => (440.0, (1.0, 1.0)),
+    high_load_of_a_shard_of_different_speed => (420.0, (0.8, 1.3)),
+}
+
 /// Guards against late reports that make the choice worse than one without reports. Single runs of 30 s may exceed the
 /// mean of several by a tenth.
 #[test]
