--- a/crates/limpet-decide/src/peer_load/load_tracker.rs
+++ b/crates/limpet-decide/src/peer_load/load_tracker.rs
@@ -26,8 +26,9 @@
 /// Rates below this are not reported: one request in ten seconds.
 const RATE_MIN_PER_10_S: u16 = 1;
 
-/// Number of report periods after which a load without changes is reported again.
-const REFRESH_PERIODS: u32 = 2;
+/// Time after which a load without changes is reported again: so often that the others don't forget it after 3 s if one
+/// report is lost.
+const REFRESH_AFTER: Duration = Duration::from_millis(1200);
 /// Largest number of reports for which a process may save its periods.
 const SAVED_REPORTS_MAX: u32 = 3;
 
@@ -195,7 +196,7 @@
         };
         let age = now.saturating_sub(reported_at);
         let may_report = age >= LOAD_REPORT_PERIOD && self.time_saved(now) >= self.report_period;
-        may_report && (self.has_changed || age >= self.report_period * REFRESH_PERIODS)
+        may_report && (self.has_changed || age >= REFRESH_AFTER)
     }
 
     /// Returns the time that has not been used for reports.
--- a/crates/limpet-decide/tests/peer_load.rs
+++ b/crates/limpet-decide/tests/peer_load.rs
@@ -170,3 +170,40 @@
     assert!((load.rejected_share - 0.5).abs() < 0.01);
     assert!((load.in_flight - 4.0).abs() < 0.01);
 }
+
+/// Returns the times of the reports in ten seconds of a process whose period is `period_ms`; it sends a request every
+/// `request_ms`, from 5,000 ms on.
+fn report_times_ms(period_ms: u64, request_ms: u64) -> Vec<u64> {
+    let mut tracker = LoadTracker::new();
+    tracker.set_report_period(at(period_ms));
+    let mut times_ms = Vec::new();
+    for now_ms in (0..10_000).step_by(50) {
+        if now_ms >= 5000 && now_ms % request_ms == 0 {
+            tracker.record_send(name_hash("t"), at(now_ms));
+            tracker.record_end(name_hash("t"));
+        }
+        if tracker.next_report(1, addr(1), at(now_ms)).is_some() {
+            times_ms.push(now_ms);
+        }
+    }
+    times_ms
+}
+
+/// Guards against a rare request that others hear of late, and against a load that others forget if a report is lost.
+#[test]
+fn rare_request_is_reported_at_once_and_repeated() {
+    assert_eq!(report_times_ms(800, 5000), [5000, 6200, 7400, 8600, 9800]);
+}
+
+/// Guards against more reports than the period allows from a process that sends requests all the time.
+#[test]
+fn frequent_requests_are_reported_once_in_a_period() {
+    let times_ms = report_times_ms(800, 50);
+    let in_period: Vec<u64> = times_ms
+        .windows(2)
+        .map(|pair| pair[1] - pair[0])
+        .skip(5)
+        .collect();
+    assert!(times_ms.len() <= 5000 / 800 + 4, "{times_ms:?}");
+    assert!(in_period.iter().all(|ms| *ms == 800), "{times_ms:?}");
+}
