--- a/crates/limpet-decide/tests/balance_support/mod.rs
+++ b/crates/limpet-decide/tests/balance_support/mod.rs
@@ -1,6 +1,8 @@
 //! Processes that send requests to the targets of one service and report their load to each other, in virtual time.
 #![allow(dead_code)]
 
+mod scenario;
+
 use std::{
     cmp::Reverse,
     collections::{
@@ -38,6 +40,13 @@
 };
 use rand_chacha::ChaCha8Rng;
 
+pub(crate) use self::scenario::{
+    FalseReports,
+    Measured,
+    Policy,
+    Scenario, //
+};
+
 /// Time before the measurement, in which the processes hear of each other.
 const WARMUP: Duration = Duration::from_secs(12);
 /// Length of the measurement.
@@ -49,92 +58,6 @@
 /// Time between two computations of the reported loads.
 const APPLY_INTERVAL: Duration = Duration::from_millis(150);
 
-/// How a process chooses a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Policy {
-    /// The choice of this crate.
-    Chosen,
-    /// The least cost by own observations, as before load reports.
-    OwnObservations,
-    /// The choice of this crate without reports.
-    WithoutReports,
-    /// The target with fewest requests in flight, own and reported, as if the reports were current.
-    LateAsCurrent,
-}
-
-/// What one process reports falsely.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum FalseReports {
-    /// No load at all.
-    NoLoad,
-    /// The largest load and only rejections at the first target.
-    FullLoad,
-    /// The largest load and only rejections at all targets.
-    FullLoadEverywhere,
-}
-
-/// Processes, targets and failures of one run.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Scenario {
-    /// Number of processes by zone.
-    pub(crate) process_zones: &'static [usize],
-    /// Number of targets by zone.
-    pub(crate) target_zones: &'static [usize],
-    pub(crate) slots: u32,
-    pub(crate) requests_per_s: f64,
-    pub(crate) service_time: Duration,
-    /// Slowest and fastest target, as multiples of the service time.
-    pub(crate) speed_factors: (f64, f64),
-    /// Share of the reports that get lost, at each receiver.
-    pub(crate) report_loss: f64,
-    /// Time that a report takes.
-    pub(crate) report_delay: Duration,
-    pub(crate) reports_stop: bool,
-    pub(crate) false_reports: Option<FalseReports>,
-    /// Number of targets that reject every request.
-    pub(crate) rejecting_targets: usize,
-    pub(crate) policy: Policy,
-}
-
-/// What was measured after the warm-up.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Measured {
-    /// Requests to the busiest target, relative to the mean of those that don't reject.
-    pub(crate) spread: f64,
-    /// Requests to the least busy target, relative to the mean of those that don't reject.
-    pub(crate) least: f64,
-    /// Mean time in the queue of a target.
-    pub(crate) wait: Duration,
-    /// Mean number of idle slots that requests in queues elsewhere could have used.
-    pub(crate) idle_slots_while_queued: f64,
-    /// Share of the requests that were rejected.
-    pub(crate) rejected_share: f64,
-    /// Requests to the first target, relative to the mean.
-    pub(crate) first_target: f64,
-    /// Reports of each process per second.
-    pub(crate) reports_per_s: f64,
-    /// Load reports that a process sends or passes on, without headers of the network.
-    pub(crate) kb_per_s: f64,
-}
-
-impl Measured {
-    /// Returns the mean of several runs.
-    pub(crate) fn mean(runs: &[Self]) -> Self {
-        let count = runs.len() as f64;
-        let mean = |value: fn(&Self) -> f64| runs.iter().map(value).sum::<f64>() / count;
-        Self {
-            spread: mean(|run| run.spread),
-            least: mean(|run| run.least),
-            wait: Duration::from_secs_f64(mean(|run| run.wait.as_secs_f64())),
-            idle_slots_while_queued: mean(|run| run.idle_slots_while_queued),
-            rejected_share: mean(|run| run.rejected_share),
-            first_target: mean(|run| run.first_target),
-            kb_per_s: mean(|run| run.kb_per_s),
-            reports_per_s: mean(|run| run.reports_per_s),
-        }
-    }
-}
-
 /// A target with its slots and its queue.
 struct SimTarget {
     zone: usize,
@@ -160,9 +83,17 @@
 /// What happens at a point in time; the order of the variants decides between simultaneous ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    End { target: usize, process: usize },
-    Report { process: usize },
-    Delivery { report: usize },
+    End {
+        target: usize,
+        process: usize,
+        arrived_at: Duration,
+    },
+    Report {
+        process: usize,
+    },
+    Delivery {
+        report: usize,
+    },
     Request,
 }
 
@@ -176,6 +107,7 @@
     reports: Vec<(usize, LoadReport)>,
     now: Duration,
     waits: Vec<Duration>,
+    latencies: Vec<Duration>,
     request_count: u32,
     rejected_count: u32,
     report_count: u32,
@@ -200,6 +132,13 @@
         spread: usable.iter().copied().fold(0.0, f64::max) / mean,
         least: usable.iter().copied().fold(f64::MAX, f64::min) / mean,
         wait: waits.iter().sum::<Duration>() / waits.len().max(1) as u32,
+        latency: sim.latencies.iter().sum::<Duration>() / sim.latencies.len().max(1) as u32,
+        late_share: sim
+            .latencies
+            .iter()
+            .filter(|latency| **latency > scenario.service_time * 4)
+            .count() as f64
+            / sim.latencies.len().max(1) as f64,
         idle_slots_while_queued: sim.idle_slot_s / MEASURED_TIME.as_secs_f64(),
         rejected_share: f64::from(sim.rejected_count) / f64::from(sim.request_count.max(1)),
         first_target: f64::from(sim.targets[0].request_count) / mean,
@@ -266,6 +205,7 @@
             reports: Vec::new(),
             now: Duration::ZERO,
             waits: Vec::new(),
+            latencies: Vec::new(),
             request_count: 0,
             rejected_count: 0,
             report_count: 0,
@@ -297,7 +237,14 @@
                     self.report(process);
                 }
                 Event::Delivery { report } => self.deliver(report),
-                Event::End { target, process } => self.end(target, process),
+                Event::End {
+                    target,
+                    process,
+                    arrived_at,
+                } => match self.pause_end(target) {
+                    Some(pause_end) => self.events.push(Reverse((pause_end, event))),
+                    None => self.end(target, process, arrived_at),
+                },
             }
         }
     }
@@ -359,11 +306,27 @@
         self.targets[target].running += 1;
         let factor = self.rng.random_range(0.8..1.2);
         let end = self.now + self.targets[target].service_time.mul_f64(factor);
-        self.events
-            .push(Reverse((end, Event::End { target, process })));
+        let end_event = Event::End {
+            target,
+            process,
+            arrived_at,
+        };
+        self.events.push(Reverse((end, end_event)));
+    }
+
+    /// Returns the end of the pause of a target, if it pauses now. The pauses of the targets are spread over time.
+    fn pause_end(&self, target: usize) -> Option<Duration> {
+        let (interval, length) = self.scenario.pauses?;
+        let offset = interval.mul_f64(target as f64 / self.targets.len() as f64);
+        let phase_s = (self.now + offset).as_secs_f64() % interval.as_secs_f64();
+        let left_s = length.as_secs_f64() - phase_s;
+        (left_s > 1e-6).then(|| self.now + Duration::from_secs_f64(left_s))
     }
 
-    fn end(&mut self, target: usize, process: usize) {
+    fn end(&mut self, target: usize, process: usize, arrived_at: Duration) {
+        if arrived_at >= WARMUP {
+            self.latencies.push(self.now - arrived_at);
+        }
         let sender = &mut self.processes[process];
         sender.targets[target].record_reply(self.now);
         sender.targets[target].record_accepted();
