Tell aggregators the time since the caller's first attempt

Cause: an aggregator counted the goal of a retried query from its own arrival, so callers that could no longer be in time took the places of those that could.

--- a/crates/limpet-decide/tests/admission.rs
+++ b/crates/limpet-decide/tests/admission.rs
@@ -43,6 +43,7 @@
 /// Returns the report of a query that a target answered.
 const fn answered() -> RunReport {
     RunReport {
+        has_free_slots: false,
         has_run_time: true,
         is_in_time: true,
         is_cut: false,
@@ -353,6 +354,7 @@
 /// Returns the report of a gather over 36 shards.
 const fn gather_report(failed_part_count: u32, rejected_attempt_count: u32) -> RunReport {
     RunReport {
+        has_free_slots: false,
         part_count: 36,
         failed_part_count,
         attempt_count: 36 + rejected_attempt_count,
--- a/crates/limpet-decide/tests/admission/model.rs
+++ b/crates/limpet-decide/tests/admission/model.rs
@@ -322,6 +322,7 @@
             self.service_queue.push_back(attempt);
         } else {
             let report = RunReport {
+                has_free_slots: false,
                 part_count: 1,
                 failed_part_count: 1,
                 attempt_count: 1,
@@ -353,6 +354,7 @@
             result.admitted_late_count += u32::from(!is_in_time);
         });
         let report = RunReport {
+            has_free_slots: false,
             has_run_time: true,
             is_in_time,
             part_count: 1,
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -405,7 +405,7 @@
         body: request.body.to_vec(),
         request_id: request.request_id.as_bytes().to_vec(),
         fingerprint: query.fingerprint,
-        waited: query.arrived_at.elapsed(),
+        waited: query.time_since_first_attempt(),
         time_left: query.time_left(),
     }
 }
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -70,6 +70,11 @@
         self.arrived_at.elapsed().saturating_sub(queue_wait)
     }
 
+    /// Returns the time since the caller's first attempt, as far as that is known.
+    pub fn time_since_first_attempt(&self) -> Duration {
+        (Instant::now() + self.route.latency_goal).saturating_duration_since(self.goal_at)
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/limpet-types/src/message/gather.rs
+++ b/crates/limpet-types/src/message/gather.rs
@@ -26,7 +26,8 @@
     pub request_id: Vec<u8>,
     /// Hash that identifies repetitions of the request.
     pub fingerprint: u64,
-    /// Time since the request arrived.
+    /// Time since the caller's first attempt, as far as that is known. The order in which queries wait depends on it, so
+    /// a caller that retries is not taken for a new one.
     pub waited: Duration,
     /// Time until the last attempt must have ended.
     pub time_left: Duration,
