Start with 32 concurrent queries per core

With 16, aggregators refused queries in the first second of a burst although slots were free. The tests that depend on the figure state 16 themselves.

--- a/crates/limpet-decide/src/admission/admission_limits.rs
+++ b/crates/limpet-decide/src/admission/admission_limits.rs
@@ -17,7 +17,7 @@
 impl Default for AdmissionLimits {
     fn default() -> Self {
         Self {
-            initial_per_core: 16.0,
+            initial_per_core: 32.0,
             max_per_core: 128.0,
             decrease_goal_fraction: 0.8,
         }
--- a/crates/limpet-decide/tests/admission.rs
+++ b/crates/limpet-decide/tests/admission.rs
@@ -26,8 +26,15 @@
 }
 
 /// Returns the queue of a process with the lowest limit of two queries.
+/// Limits of a process that begins with 16 queries per core, whatever the default is.
+const LIMITS: AdmissionLimits = AdmissionLimits {
+    initial_per_core: 16.0,
+    max_per_core: 128.0,
+    decrease_goal_fraction: 0.8,
+};
+
 fn queue() -> AdmissionQueue {
-    AdmissionQueue::new(AdmissionLimits::default(), 0.1, 1000)
+    AdmissionQueue::new(LIMITS, 0.1, 1000)
 }
 
 fn arrival(priority: u32, goal_at: Duration) -> Arrival {
@@ -364,7 +371,7 @@
 }
 
 fn changes_limit(series: Series) {
-    let mut limit = ConcurrencyLimit::new(AdmissionLimits::default(), 1.0);
+    let mut limit = ConcurrencyLimit::new(LIMITS, 1.0);
     let mut run = CompletedRun {
         route: 1,
         goal: GOAL,
@@ -441,7 +448,7 @@
 /// Guards against a limit beyond its bounds, and against one that rises without use.
 #[test]
 fn limit_stays_within_its_bounds() {
-    let limits = AdmissionLimits::default();
+    let limits = LIMITS;
     let run = |run_ms, is_limit_used| CompletedRun {
         goal: GOAL,
         run_time: ms(run_ms),
