End the endless tries of a retry that finds budget and no room

Cause: while other retries waited for budget, a retry of the first rank found budget, then no target with room, and changed between the two waits by recursion until the stack overflowed; processes ended by themselves.

--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -261,7 +261,7 @@
 
     /// Tries to start the attempt that is wanted.
     fn advance(&mut self, wanted: Wanted) -> Result<(), ServiceError> {
-        match self.try_start(wanted) {
+        match self.try_start(wanted, true) {
             Start::Started => {
                 self.wanted = None;
                 self.wait.clear();
@@ -283,7 +283,10 @@
     }
 
     /// Starts an attempt if budget and room allow it, or waits for them.
-    fn try_start(&mut self, wanted: Wanted) -> Start {
+    ///
+    /// With `may_try_again`, it tries once more after it began to wait for room. Once is enough, and more may never end:
+    /// if others wait for budget as well, the attempt changes between the two waits each time.
+    fn try_start(&mut self, wanted: Wanted, may_try_again: bool) -> Start {
         if !self.is_allowed(wanted) {
             return Start::Impossible;
         }
@@ -309,7 +312,7 @@
                 let budgets = shared.retry_budgets(&self.service);
                 budgets.refund(&self.service, kind, shared.now());
             }
-            return self.wait_for_room(wanted);
+            return self.wait_for_room(wanted, may_try_again);
         }
         if let Some((_, cause)) = extra {
             metrics::counter!("limpet_repeats_total", "cause" => cause).increment(1);
@@ -356,14 +359,16 @@
     }
 
     /// Waits until a target may have room, if that can happen.
-    fn wait_for_room(&mut self, wanted: Wanted) -> Start {
+    fn wait_for_room(&mut self, wanted: Wanted, may_try_again: bool) -> Start {
         let is_new = self.wait.wait_for_room(&self.room, self.rank());
         if is_new {
             if wanted != Wanted::Hedge {
                 self.room.wanted.notify_waiters();
             }
             // A target may have got room before the request was among those that wait; the budget is spent anew.
-            return self.try_start(wanted);
+            if may_try_again {
+                return self.try_start(wanted, false);
+            }
         }
         self.wait.pass_on();
         let outlook = self.targets.outlook();
