Count the arrival of a repeated query at the aggregator from its own arrival

Cause: since the message holds the time since the caller's first attempt, the aggregator took that attempt for the arrival. The earliest time of a partial answer (half of the goal after the arrival) was then over at once for a caller that repeated its query late, other than in a process that runs the query itself.

Change: the goal counts from the first attempt, the arrival from the message.

Evidence: cargo test -p limpet-decide -p limpet-gateway passes; no test covers a partial answer to a repeated query at an aggregator.

--- a/crates/limpet-gateway/src/query/aggregation.rs
+++ b/crates/limpet-gateway/src/query/aggregation.rs
@@ -62,7 +62,7 @@
     let aggregator_count = shared
         .aggregators()
         .extended_count_with(shared.settings.peer_addr, &shard_shares);
-    let arrived_at = now.checked_sub(waited).unwrap_or(now);
+    let goal_at = (now + route.latency_goal).checked_sub(waited);
     let team = outgoing_request
         .headers
         .get(&shared.header_names.team)
@@ -73,12 +73,13 @@
         .unwrap_or(route.priority);
     let query = QueryContext {
         shared: Arc::clone(shared),
-        goal_at: arrived_at + route.latency_goal,
+        goal_at: goal_at.unwrap_or(now),
         priority,
         route_table: Arc::clone(&route_table),
         route: route.clone(),
         request: outgoing_request,
-        arrived_at,
+        // Not the caller's first attempt: a query that is repeated still has time for all its parts.
+        arrived_at: now,
         deadline: now + request.time_left.min(route.timeout),
         fingerprint: request.fingerprint,
         known_strikes: shared
