Mend how the limit uses free slots, and a timer that polled

Cause and change: - A service without usable targets had 0 requests per slot and so counted as free; with a share of 0 the value was infinite, and the smoothed one then not a number for good. It now counts as full, and values are bounded. - Queries that failed raised the limit while slots were free. It does so only while the group is loaded. - Routes that list the shards of a group in different orders mixed up the smoothed values. The shards are sorted. - A probe that waits was checked again every millisecond until the end of its goal.

Evidence: the three new tests of tests/admission.rs fail without the change and pass with it. cargo test -p limpet-decide -p limpet-gateway passes; the change in the order of the shards and in the load of an idle site has no test of its own.

--- a/crates/limpet-decide/src/admission/admission_queue.rs
+++ b/crates/limpet-decide/src/admission/admission_queue.rs
@@ -218,14 +218,22 @@
         }
     }
 
-    /// Records the requests in flight per slot of the services, and returns whether those that an answer needs have
-    /// free slots.
+    /// Returns whether the end of a query with this permit may change the limit, so that the use of the slots matters.
+    pub fn is_loaded(&self, permit: &Permit, now: Duration) -> bool {
+        permit.is_limit_used || !self.waiting.is_empty() || self.is_pressed(now)
+    }
+
+    /// Records the requests in flight per slot of the services, none if they are not known, and returns whether the
+    /// services that an answer needs have free slots.
     pub fn record_pressure(
         &mut self,
         in_flight_per_slot: &[f64],
         needed_count: usize,
         now: Duration,
     ) -> bool {
+        if in_flight_per_slot.is_empty() {
+            return false;
+        }
         self.pressure.record(in_flight_per_slot, now);
         let pressure = self.pressure.of_needed(needed_count);
         pressure.is_some_and(|pressure| pressure < FREE_SLOTS_PRESSURE_MAX)
@@ -234,14 +242,13 @@
     /// Takes back the permit of a query that ended, and learns from it.
     pub fn finish(&mut self, permit: Permit, report: &RunReport, now: Duration) {
         self.release(permit.priority);
-        let is_pressed = |at: Duration| now.saturating_sub(at) < PRESSED_TIME;
         let run = CompletedRun {
             route: permit.route,
             goal: permit.goal,
             run_time: now.saturating_sub(permit.started_at),
             waited: permit.waited,
             running_count: permit.running_count,
-            is_pressed: self.pressed_at.is_some_and(is_pressed),
+            is_pressed: self.is_pressed(now),
             // A query that ends while others wait used a permit that another one needed.
             is_limit_used: permit.is_limit_used || !self.waiting.is_empty(),
             report: *report,
@@ -271,7 +278,12 @@
         let (priority, goal_at) = (waiting.arrival.priority, waiting.arrival.goal_at);
         let ahead_count = self.waiting.count_before(priority, goal_at);
         // The count includes the query itself.
-        let expected_wait = self.wait_behind(priority, ahead_count.saturating_sub(1), now);
+        let ahead_count = ahead_count.saturating_sub(1);
+        if self.is_probe(&waiting.arrival, ahead_count, now) {
+            // It may wait beyond its latest start, so a check at that time would be repeated without end.
+            return Some(goal_at);
+        }
+        let expected_wait = self.wait_behind(priority, ahead_count, now);
         let check_at = self.latest_start_at(&waiting.arrival);
         Some(check_at.saturating_sub(expected_wait).max(now))
     }
@@ -281,6 +293,12 @@
         std::mem::take(&mut self.verdicts)
     }
 
+    /// Returns whether a query found no free permit a short time ago.
+    fn is_pressed(&self, now: Duration) -> bool {
+        let is_recent = |at: Duration| now.saturating_sub(at) < PRESSED_TIME;
+        self.pressed_at.is_some_and(is_recent)
+    }
+
     /// Returns the number of queries that may start at once.
     const fn free_count(&self) -> usize {
         self.limit.permit_count().saturating_sub(self.running_count)
--- a/crates/limpet-decide/src/admission/service_pressure.rs
+++ b/crates/limpet-decide/src/admission/service_pressure.rs
@@ -5,6 +5,9 @@
 /// Time constant of the smoothing. It is long beside the pauses of single targets, which fill the slots of one service
 /// for a fraction of a second.
 const TIME_CONSTANT: Duration = Duration::from_secs(1);
+/// Most requests per slot that are recorded for a service. A service without usable slots counts as this much; an
+/// infinite value would never leave the smoothed one.
+const PRESSURE_MAX: f64 = 4.0;
 
 /// Requests in flight per slot of each service of a group.
 #[derive(Clone, Debug, Default)]
@@ -14,16 +17,21 @@
 }
 
 impl ServicePressure {
-    /// Records the requests in flight per slot, in the same order of the services each time.
+    /// Records the requests in flight per slot, in the same order of the services each time; infinite or not a number
+    /// for a service without usable slots.
     pub fn record(&mut self, in_flight_per_slot: &[f64], now: Duration) {
+        // `min` also turns a value that is not a number into the most.
+        let bounded = in_flight_per_slot
+            .iter()
+            .map(|current| current.min(PRESSURE_MAX));
         if self.by_service.len() != in_flight_per_slot.len() {
-            self.by_service = in_flight_per_slot.to_vec();
+            self.by_service = bounded.collect();
             self.updated_at = now;
             return;
         }
         let age = now.saturating_sub(self.updated_at);
         let weight = 1.0 - (-age.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp();
-        for (smoothed, current) in self.by_service.iter_mut().zip(in_flight_per_slot) {
+        for (smoothed, current) in self.by_service.iter_mut().zip(bounded) {
             *smoothed += weight * (current - *smoothed);
         }
         self.updated_at = now;
--- a/crates/limpet-decide/tests/admission.rs
+++ b/crates/limpet-decide/tests/admission.rs
@@ -14,6 +14,7 @@
     RefusalEpisode,
     RefusalReason,
     RunReport,
+    ServicePressure,
     Verdict,
     retry_after, //
 };
@@ -25,7 +26,6 @@
     Duration::from_millis(ms)
 }
 
-/// Returns the queue of a process with the lowest limit of two queries.
 /// Limits of a process that begins with 16 queries per core, whatever the default is.
 const LIMITS: AdmissionLimits = AdmissionLimits {
     initial_per_core: 16.0,
@@ -33,6 +33,7 @@
     decrease_goal_fraction: 0.8,
 };
 
+/// Returns the queue of a process with the lowest limit of two queries.
 fn queue() -> AdmissionQueue {
     AdmissionQueue::new(LIMITS, 0.1, 1000)
 }
@@ -267,6 +268,18 @@
     assert!(is_refused(&mut queue, ms(300)), "one probe is enough");
 }
 
+/// Guards against a probe whose check is due again at once, which polls until the end of its goal.
+#[test]
+fn probe_that_waits_is_checked_at_the_end_of_its_goal() {
+    let mut queue = queue();
+    let _permits = fill(&mut queue, ms(90), ms(0));
+    let id = wait(&mut queue, arrival(0, ms(400)), ms(300));
+    assert_eq!(queue.check(id, ms(330)), Some(ms(400)));
+    assert_eq!(queue.check(id, ms(400)), None);
+    let verdicts = queue.take_verdicts();
+    assert!(matches!(verdicts[..], [(refused, Verdict::Refuse(_))] if refused == id));
+}
+
 /// Guards against a caller that disconnected and still takes a place or a permit.
 #[test]
 fn query_whose_caller_left_gets_no_permit() {
@@ -474,3 +487,54 @@
     let small = ConcurrencyLimit::new(limits, 0.01);
     assert_eq!(small.permit_count(), 2);
 }
+
+/// Returns the limit that begins with 16 queries after 50 slow ones, which reached it, with this report.
+fn limit_after_slow_queries(report: RunReport) -> usize {
+    let mut limit = ConcurrencyLimit::new(LIMITS, 1.0);
+    for index in 0..50 {
+        let run = CompletedRun {
+            goal: GOAL,
+            run_time: ms(95),
+            running_count: 16,
+            is_limit_used: true,
+            is_pressed: true,
+            report,
+            ..CompletedRun::default()
+        };
+        limit.record(&run, ms(index * 200));
+    }
+    limit.permit_count()
+}
+
+/// Guards against a limit that stays low, or falls, although the services could run more queries, and against one
+/// that rises by queries that failed or were rejected.
+#[test]
+fn limit_rises_while_the_services_have_free_slots() {
+    let with_free_slots = |report| RunReport {
+        has_free_slots: true,
+        ..report
+    };
+    assert!(limit_after_slow_queries(gather_report(0, 0)) < 16);
+    assert!(limit_after_slow_queries(with_free_slots(gather_report(0, 0))) > 20);
+    assert!(limit_after_slow_queries(with_free_slots(gather_report(8, 16))) < 16);
+    let failed = RunReport {
+        has_run_time: false,
+        is_in_time: false,
+        ..gather_report(0, 0)
+    };
+    assert_eq!(limit_after_slow_queries(with_free_slots(failed)), 16);
+}
+
+/// Guards against a service without usable slots that counts as free, or as full for good.
+#[test]
+fn service_without_usable_slots_is_full_until_it_has_some() {
+    let mut pressure = ServicePressure::default();
+    assert_eq!(pressure.of_needed(1), None);
+    pressure.record(&[f64::INFINITY, f64::NAN, 0.1], ms(0));
+    assert_eq!(pressure.of_needed(1), Some(0.1));
+    assert!(pressure.of_needed(2).is_some_and(|pressure| pressure > 1.0));
+    for second in 1..=10 {
+        pressure.record(&[0.1, 0.1, 0.1], ms(second * 1000));
+    }
+    assert!(pressure.of_needed(3).is_some_and(|pressure| pressure < 0.8));
+}
--- a/crates/limpet-gateway/src/query/admission.rs
+++ b/crates/limpet-gateway/src/query/admission.rs
@@ -63,7 +63,16 @@
     let key = GroupKey::of_gather(gather);
     let permit = wait_for_permit(&query, key, || gather_group_name(gather)).await?;
     let outcome = run_scatter_gather(Arc::clone(&query), gather).await;
-    let in_flight_per_slot = query.shared.in_flight_per_slot(&gather.shards);
+    // Counting the requests of all targets is needed only under load.
+    let in_flight_per_slot = match permit.is_group_loaded() {
+        true => {
+            let mut shards: Vec<&str> = gather.shards.iter().map(|shard| &**shard).collect();
+            // Routes of the group may list the shards in different orders.
+            shards.sort_unstable();
+            query.shared.in_flight_per_slot(&shards)
+        }
+        false => Vec::new(),
+    };
     let needed_count = Parts::new(gather.shards.len(), gather.coverage_min).needed_count;
     let services = ServiceUse {
         in_flight_per_slot: &in_flight_per_slot,
@@ -257,7 +266,7 @@
     let part_count = part_count as u32;
     let arrived_count = match outcome {
         Ok(answer) => part_count.saturating_sub(answer.missing_count() as u32),
-        Err(_) => (attempt_count - rejected_count).min(part_count),
+        Err(_) => attempt_count.saturating_sub(rejected_count).min(part_count),
     };
     let is_server_error =
         matches!(outcome, Ok(Answer::Reply(reply)) if reply.status.is_server_error());
--- a/crates/limpet-gateway/src/query/admission_state.rs
+++ b/crates/limpet-gateway/src/query/admission_state.rs
@@ -107,6 +107,17 @@
         self.permit.as_ref().map_or(Duration::ZERO, Permit::waited)
     }
 
+    /// Returns whether the use of the services matters when the query ends.
+    pub(super) fn is_group_loaded(&self) -> bool {
+        let admission = self.shared.admission();
+        let groups = admission.lock();
+        let now = self.shared.now();
+        let (permit, group) = (self.permit.as_ref(), groups.get(&self.key));
+        permit
+            .zip(group)
+            .is_some_and(|(permit, group)| group.queue.is_loaded(permit, now))
+    }
+
     /// Gives back the permit of a query that ran. `in_flight_per_slot` holds the use of the services as far as it is
     /// known, of which an answer needs `needed_count`.
     pub(super) fn finish(
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -416,8 +416,8 @@
     /// Returns for each service the requests of this process in flight per slot of its share of the targets.
     ///
     /// The share is its part of the reported requests for the service; without reports it is equal to that of any other
-    /// process.
-    pub fn in_flight_per_slot(&self, services: &[Box<str>]) -> Vec<f64> {
+    /// process. A service without usable slots has infinitely many requests per slot.
+    pub fn in_flight_per_slot(&self, services: &[&str]) -> Vec<f64> {
         let now = self.now();
         // All services of a group get the same requests.
         let share = services.first().and_then(|service| {
@@ -428,9 +428,13 @@
         let process_count = self.rate_limiter().process_counts().total.max(1);
         let share = share.unwrap_or(1.0 / process_count as f64);
         let fleet = self.fleet();
-        let in_flight_per_slot = |service: &Box<str>| {
+        let in_flight_per_slot = |service: &&str| {
             let (in_flight_count, slot_count) = fleet.in_flight_and_slot_counts(service, now);
-            f64::from(in_flight_count) / (f64::from(slot_count) * share).max(f64::MIN_POSITIVE)
+            let own_slots = f64::from(slot_count) * share;
+            match own_slots > 0.0 {
+                true => f64::from(in_flight_count) / own_slots,
+                false => f64::INFINITY,
+            }
         };
         services.iter().map(in_flight_per_slot).collect()
     }
