Raise the limit with free slots only after answers in time

A query that ended late left slots free as well and raised the limit up to its bound (found in the review).

--- a/crates/limpet-decide/src/admission/concurrency_limit.rs
+++ b/crates/limpet-decide/src/admission/concurrency_limit.rs
@@ -174,8 +174,8 @@
                 self.limit = (self.limit * DECREASE_FACTOR).max(self.min);
                 self.decreased_at = Some(now);
             }
-        } else if run.is_limit_used && run.report.has_free_slots && run.report.has_run_time {
-            // A query that failed leaves slots free, but does not show that more queries could be answered.
+        } else if run.is_limit_used && run.report.has_free_slots && run.report.is_in_time {
+            // A query that failed or was late leaves slots free as well, but does not show that more would be in time.
             self.limit = (self.limit + FREE_SLOTS_RISE / self.limit).min(self.max);
         } else if run.is_limit_used && run.report.is_in_time && self.may_rise(run.route, now) {
             self.limit = (self.limit + 1.0 / self.limit).min(self.max);
