Wake waiting attempts when a backoff or a pause of a rejecting target ends

Cause: next_allowed_at did not know the backoff after rejections, and left out targets that had rejected the request although they are asked again without another target. If such a target was paused beyond the time at which it may be asked again, no timer and no notification woke the attempt. has_other_target counted cold targets that may get nothing, so that a rejected request waited for their warm-up instead of asking again. The in-flight requests of leaving targets counted in the mean of the service although their slots did not.

Evidence: two tests in tests/fleet.rs.

--- a/crates/limpet-gateway/src/query/service_targets.rs
+++ b/crates/limpet-gateway/src/query/service_targets.rs
@@ -82,12 +82,12 @@
     pub(super) fn outlook(&self) -> Outlook {
         let shared = &self.query.shared;
         let now = shared.now();
-        let (has_other_target, next_allowed_at) = self.with_criteria(false, true, |criteria| {
-            let fleet = shared.fleet();
-            (
-                fleet.has_other_target(criteria, now),
-                fleet.next_allowed_at(criteria, now),
-            )
+        let has_other_target = self.with_criteria(false, true, |criteria| {
+            shared.fleet().has_other_target(criteria, now)
+        });
+        // Without another target, those that rejected the request are asked again, but not while they are paused.
+        let next_allowed_at = self.with_criteria(false, has_other_target, |criteria| {
+            shared.fleet().next_allowed_at(criteria, now)
         });
         let next_ask_at = self.asked.next_ask_at(now);
         let next_ask_at = next_ask_at.filter(|_| !has_other_target);
--- a/crates/limpet-gateway/src/target/fleet.rs
+++ b/crates/limpet-gateway/src/target/fleet.rs
@@ -83,6 +83,8 @@
             return Candidate {
                 availability: Availability::Excluded,
                 slots: 0.0,
+                own_in_flight: 0.0,
+                reported_in_flight: 0.0,
                 own_requests: 0.0,
                 reported_requests: 0.0,
                 ..load
@@ -120,7 +122,7 @@
     }
 
     /// Returns whether this process may send a request to a target now as far as its warm-up goes.
-    fn allows_cold_request(&self, target: &Target, now: Duration) -> bool {
+    pub(super) fn allows_cold_request(&self, target: &Target, now: Duration) -> bool {
         let Some(send_interval) = self.cold_send_interval else {
             return true;
         };
--- a/crates/limpet-gateway/src/target/room_notifier.rs
+++ b/crates/limpet-gateway/src/target/room_notifier.rs
@@ -84,16 +84,21 @@
 
 impl Fleet {
     /// Returns whether a target of the service, other than those that were tried, accepts requests. It may lack a free
-    /// connection at the moment.
+    /// connection at the moment, or be in its backoff after a rejection. One that is cold and may get no request now
+    /// doesn't count: a request that was rejected elsewhere would otherwise wait for its warm-up.
     pub fn has_other_target(&self, criteria: &TargetCriteria<'_>, now: Duration) -> bool {
         let mut targets = self.targets(criteria.service).iter();
         targets.any(|target| {
-            target.allows_request(now) && !criteria.tried_targets.contains(&target.id)
+            target.allows_request(now)
+                && !criteria.tried_targets.contains(&target.id)
+                && criteria.allows_cold_request(target, now)
         })
     }
 
     /// Returns the earliest time at which a target that was not tried may get a request although it gets none at
-    /// present because of a pause or its warm-up; `None` if there is no such target.
+    /// present because of a pause, its warm-up or its backoff after a rejection; `None` if there is no such target.
+    ///
+    /// The backoff counts last, since it doesn't hold if no other target accepts requests.
     pub fn next_allowed_at(
         &self,
         criteria: &TargetCriteria<'_>,
@@ -111,7 +116,8 @@
                 is_cold.then(|| limiter.next_request_at(send_interval))
             });
             let allowed_at = cold_at.unwrap_or(now).max(now + pause);
-            (allowed_at > now).then_some(allowed_at)
+            let backoff_end = now + target.load().backoff().time_left(now);
+            [allowed_at, backoff_end].into_iter().find(|at| *at > now)
         });
         times.min()
     }
--- a/crates/limpet-gateway/tests/fleet.rs
+++ b/crates/limpet-gateway/tests/fleet.rs
@@ -16,6 +16,7 @@
     deployment_state::DeploymentState,
     target::{
         Fleet,
+        Target,
         TargetCriteria, //
     },
 };
@@ -158,6 +159,38 @@
     assert!(fleet.pick(&after_b, at(210)).is_some());
 }
 
+/// Guards against a request that is not woken at the end of a backoff while the only other target has no room.
+#[test]
+fn waiting_request_is_woken_at_the_end_of_a_backoff() {
+    let (fleet, _state) = fleet_with(2);
+    let target = fleet.get("a").unwrap();
+    target.load().record_rejection(0.5, at(100));
+    let criteria = criteria(LARGE_FLEET);
+    assert!(fleet.has_other_target(&criteria, at(110)));
+    assert_eq!(fleet.next_allowed_at(&criteria, at(110)), Some(at(150)));
+    assert_eq!(fleet.next_allowed_at(&criteria, at(151)), None);
+    // The end of a pause comes first: the backoff doesn't hold if no other target accepts requests.
+    target.notices().record_pause(at(20), at(110));
+    assert_eq!(fleet.next_allowed_at(&criteria, at(110)), Some(at(130)));
+}
+
+/// Guards against a request that was rejected and then waits for a cold target that it may not use.
+#[test]
+fn cold_target_that_may_get_nothing_is_no_other_target() {
+    let (fleet, _state) = fleet_with(2);
+    let cold = fleet.get("b").unwrap();
+    cold.cold_rate_limiter().set_cold(at(5000), at(0));
+    let nothing = |_: &Target| None;
+    let after_a = TargetCriteria {
+        tried_targets: &["a".into()],
+        cold_send_interval: Some(&nothing),
+        ..criteria(LARGE_FLEET)
+    };
+    assert!(!fleet.has_other_target(&after_a, at(100)));
+    assert_eq!(fleet.next_allowed_at(&after_a, at(100)), Some(at(5000)));
+    assert!(fleet.has_other_target(&after_a, at(5001)));
+}
+
 limpet_testkit::cases! {
     rejection_is_remembered:
     rejection_in_a_large_fleet => LARGE_FLEET,
