Count a target once in each load report

Cause: the sums take each entry for that of another process, so one false report that names a target twice confirmed its own rejections and lifted the bound of the highest figure.

Evidence: target_counts_once_in_a_report in tests/peer_load.rs.

--- a/crates/limpet-decide/src/peer_load/peer_loads.rs
+++ b/crates/limpet-decide/src/peer_load/peer_loads.rs
@@ -1,7 +1,10 @@
 //! Load reports of the other processes.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     net::SocketAddr,
     time::Duration, //
 };
@@ -83,7 +86,14 @@
     }
 
     /// Stores a report; returns false if a later one of the same sender is known.
-    pub fn record(&mut self, report: LoadReport, now: Duration) -> bool {
+    ///
+    /// Of several entries for one target, only the first counts: the sums take each for that of another process, so
+    /// that a single false report would confirm itself.
+    pub fn record(&mut self, mut report: LoadReport, now: Duration) -> bool {
+        let mut known_targets = HashSet::new();
+        report
+            .targets
+            .retain(|entry| known_targets.insert(entry.target));
         let is_outdated = self.by_addr.get(&report.addr).is_some_and(|known| {
             let is_later = report.sequence.wrapping_sub(known.report.sequence) as i32 > 0;
             known.report.node == report.node && !is_later
--- a/crates/limpet-decide/tests/peer_load.rs
+++ b/crates/limpet-decide/tests/peer_load.rs
@@ -171,6 +171,26 @@
     assert!((load.in_flight - 4.0).abs() < 0.01);
 }
 
+/// Guards against a single false report that names a target twice and thereby confirms its own rejections.
+#[test]
+fn target_counts_once_in_a_report() {
+    let mut loads = PeerLoads::new();
+    loads.record(report(1, 10, at(10_000)), at(10_000));
+    let mut false_report = report(2, 10, at(10_000));
+    let entry = TargetUse {
+        target: name_hash("t"),
+        in_flight: 100,
+        requests_per_10_s: 1000,
+        rejected_255ths: 255,
+    };
+    false_report.targets = vec![entry; 2];
+    loads.record(false_report, at(10_000));
+    let load = loads.target_loads(at(10_000))[&name_hash("t")];
+    assert_eq!(load.rejected_share, 0.0);
+    assert!(load.in_flight < 10.0, "{load:?}");
+    assert!(load.recent_requests < 400.0, "{load:?}");
+}
+
 /// Returns the times of the reports in ten seconds of a process whose period is `period_ms`; it sends a request every
 /// `request_ms`, from 5,000 ms on.
 fn report_times_ms(period_ms: u64, request_ms: u64) -> Vec<u64> {
