Never shorten the ejection of an aggregator, and forget old failures

Cause: a late answer of an aggregator that is about to stop replaced its ejection of 8 s by one of 0.5 s. Failures of processes that left were kept for ever, since only a success removed them.

Evidence: late_answer_does_not_end_the_ejection_of_a_stopping_aggregator in tests/aggregator.rs.

--- a/crates/limpet-decide/src/aggregator/peer_ejection.rs
+++ b/crates/limpet-decide/src/aggregator/peer_ejection.rs
@@ -10,6 +10,8 @@
 const EJECTION_TIME_MIN: Duration = Duration::from_millis(500);
 /// Longest duration of an ejection.
 const EJECTION_TIME_MAX: Duration = Duration::from_secs(8);
+/// Time after the end of an ejection in which a further failure leads to a longer one.
+const FORGET_FAILURES_AFTER: Duration = Duration::from_secs(60);
 
 /// Time after a lost query in which only aggregators are used that have answered shortly before or since.
 const PAUSE_TIME: Duration = Duration::from_millis(1500);
@@ -164,15 +166,19 @@
         !answers.is_some_and(|answers| answers.is_since(lost.at))
     }
 
-    /// Ejects an aggregator, for longer with each further failure.
+    /// Ejects an aggregator, for longer with each further failure; never shortens an ejection.
     fn eject(&mut self, aggregator: SocketAddr, now: Duration) {
+        // Processes that left for good get no query whose success would remove them.
+        self.failures
+            .retain(|_, failures| now < failures.ejected_until + FORGET_FAILURES_AFTER);
         let failures = self.failures.entry(aggregator).or_insert(Failures {
             count: 0,
             ejected_until: Duration::ZERO,
         });
         let ejection_time = EJECTION_TIME_MIN * (1 << failures.count.min(4));
         failures.count += 1;
-        failures.ejected_until = now + ejection_time.min(EJECTION_TIME_MAX);
+        let ejected_until = now + ejection_time.min(EJECTION_TIME_MAX);
+        failures.ejected_until = failures.ejected_until.max(ejected_until);
     }
 
     /// Records an answer, and forgets those that no longer count.
--- a/crates/limpet-decide/tests/aggregator.rs
+++ b/crates/limpet-decide/tests/aggregator.rs
@@ -420,6 +420,17 @@
     assert!(!ejection.is_ejected(addr(2), at(10_001)));
 }
 
+/// Guards against queries to an aggregator that is about to stop because a late answer shortened its ejection.
+#[test]
+fn late_answer_does_not_end_the_ejection_of_a_stopping_aggregator() {
+    let mut ejection = PeerEjection::new();
+    ejection.record_success(addr(2), at(9_900));
+    ejection.record_stopping(addr(1), at(10_000));
+    ejection.record_late(addr(1), false, at(10_100));
+    assert!(ejection.is_ejected(addr(1), at(17_900)));
+    assert!(!ejection.is_ejected(addr(1), at(18_001)));
+}
+
 /// Guards against a slow aggregator that gets query after query, and against leaving the fast ones because of it.
 #[test]
 fn late_aggregator_is_ejected_alone() {
