Eject only the aggregator at which a query reached its deadline

Cause: a call that reached the deadline of its query counted as lost, which keeps all aggregators without an answer in the last second unused for 0.5 to 1.5 s. In an overload, a slow aggregator thereby moved queries to cold connections. The liveness checks recognize an aggregator that is dead. Not measured under load.

--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -248,7 +248,9 @@
         }
         Err(error) => {
             let now = shared.now();
-            let is_lost = !error.is_not_sent();
+            // The liveness checks find an aggregator that is dead. One query that reached its deadline, as in an
+            // overload, must not keep others off the other aggregators, since they would run on cold connections here.
+            let is_lost = !error.is_not_sent() && error.kind != PeerErrorKind::Timeout;
             shared
                 .peer_ejection()
                 .record_failure(aggregator, is_lost, now);
