Count all queries of others for a planned stop

Cause: AggregationSlots still had a limit (64 per core, at least 8) above which a query ran without being counted, so a planned stop did not wait for it.

--- a/crates/limpet-gateway/src/aggregation_slots.rs
+++ b/crates/limpet-gateway/src/aggregation_slots.rs
@@ -2,16 +2,10 @@
 
 use tokio::sync::watch;
 
-/// Number of queries that a process runs for others at the same time, per core of its processor. With 8 per core,
-/// processes refused queries while they used a twentieth of a core.
-const AGGREGATIONS_PER_CORE: f64 = 64.0;
-/// Smallest number of queries that a process runs for others at the same time.
-const AGGREGATIONS_MIN: usize = 8;
-
-/// Counts the queries that a process runs for others, and limits their number.
-#[derive(Debug)]
+/// Counts the queries that a process runs for others, so that a planned stop can wait for them. The admission queue
+/// limits their number.
+#[derive(Debug, Default)]
 pub struct AggregationSlots {
-    limit: usize,
     count_sender: watch::Sender<usize>,
 }
 
@@ -26,24 +20,15 @@
 }
 
 impl AggregationSlots {
-    /// Creates the slots of a process with this processor capacity in cores.
-    pub fn new(capacity_cores: f64) -> Self {
-        let limit = (capacity_cores * AGGREGATIONS_PER_CORE) as usize;
-        Self {
-            limit: limit.max(AGGREGATIONS_MIN),
-            count_sender: watch::Sender::new(0),
-        }
+    /// Creates the counter of a process that runs no query for others.
+    pub fn new() -> Self {
+        Self::default()
     }
 
-    /// Counts a query that this process begins to run for another one; returns `None` if it already runs as
-    /// many as its processor can.
-    pub fn begin(&self) -> Option<AggregationGuard> {
-        let is_begun = self.count_sender.send_if_modified(|count| {
-            let has_capacity = *count < self.limit;
-            *count += usize::from(has_capacity);
-            has_capacity
-        });
-        is_begun.then(|| AggregationGuard(self.count_sender.clone()))
+    /// Counts a query that this process begins to run for another one.
+    pub fn begin(&self) -> AggregationGuard {
+        self.count_sender.send_modify(|count| *count += 1);
+        AggregationGuard(self.count_sender.clone())
     }
 
     /// Waits until no query of another process is running.
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -182,7 +182,7 @@
         let mut aggregators = AggregatorDirectory::new();
         aggregators.insert(settings.peer_addr, announcement(&settings).into_node());
         let deployment_state = DeploymentState::new(settings.lapse_limits);
-        let aggregation_slots = AggregationSlots::new(settings.capacity_cores);
+        let aggregation_slots = AggregationSlots::new();
         let retry_budgets = RetryBudgets::new(settings.retry_limits);
         let shutdown = ShutdownState::new(StopSchedule::new(settings.shutdown_timeout));
         Self {
