Don't take a stall of the caller for a peer that does not react

Cause: after a stall of the calling process (a throttled processor share, 40 ms are enough), the accept timeout was noticed before the connection had read a reaction that arrived in time. Healthy aggregators were ejected for 0.5 to 8 s, and queries ran on the cold connections of the caller.

Change: if the timeout is noticed 5 ms late or more, the reaction may still be read within 10 ms.

Evidence: a_stall_of_the_caller_is_not_taken_for_a_peer_that_does_not_react fails without the change and passes with it.

--- a/crates/limpet-peer/src/client.rs
+++ b/crates/limpet-peer/src/client.rs
@@ -40,6 +40,11 @@
 
 /// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Lateness of the accept timeout from which on this process counts as stalled, for example because its share of the
+/// processor was used up.
+const STALL_MIN: Duration = Duration::from_millis(5);
+/// Time after a stall in which this process reads what has arrived meanwhile.
+const STALL_READ_TIME: Duration = Duration::from_millis(10);
 
 /// Current connection to one peer, if any.
 ///
@@ -231,7 +236,11 @@
         .map_err(not_sent_error)?;
     let mut accepted = None;
     if let Some(accept_at) = accept_at {
-        let result = timeout_at(accept_at, &mut reply).await;
+        let mut result = timeout_at(accept_at, &mut reply).await;
+        // After a stall, the timeout is noticed before the connection has read a reaction that arrived in time.
+        if result.is_err() && accept_at.elapsed() >= STALL_MIN {
+            result = timeout_at(Instant::now() + STALL_READ_TIME, &mut reply).await;
+        }
         let context = "the peer did not react before the timeout";
         let result =
             result.map_err(|_| PeerError::new(PeerErrorKind::NotAccepted, peer, context))?;
--- a/crates/limpet-peer/tests/calls.rs
+++ b/crates/limpet-peer/tests/calls.rs
@@ -149,3 +149,35 @@
     let has_received_request = tokio::time::timeout(TEST_TIMEOUT, slow_peer).await;
     assert!(!has_received_request.unwrap().unwrap());
 }
+
+/// Guards against a healthy peer that counts as unresponsive because the caller itself did not run for a while, as
+/// when its share of the processor is used up.
+#[tokio::test]
+async fn a_stall_of_the_caller_is_not_taken_for_a_peer_that_does_not_react() {
+    let (addr_sender, addr_receiver) = tokio::sync::oneshot::channel();
+    // The server has a thread of its own, so that it runs during the stall.
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let (_server, addr) = start_server_replying_unsupported().await;
+            addr_sender.send(addr).unwrap();
+            std::future::pending::<()>().await;
+        });
+    });
+    let addr = addr_receiver.await.unwrap();
+    let client = PeerClient::new();
+    let opened = client.call(addr, &PeerRequest::Status, TEST_TIMEOUT).await;
+    assert_eq!(opened.unwrap(), PeerReply::Unsupported);
+    let accept_timeout = Duration::from_millis(40);
+    for _ in 0..20 {
+        let call = client.call_with_accept_timeout(
+            addr,
+            &PeerRequest::Status,
+            accept_timeout,
+            TEST_TIMEOUT,
+        );
+        let stall = async { std::thread::sleep(accept_timeout * 2) };
+        let (reply, ()) = tokio::join!(call, stall);
+        assert_eq!(reply.unwrap(), PeerReply::Unsupported);
+    }
+}
