Keep a stopping aggregator ejected while it answers the queries that it has

Cause: an answer in time removed the ejection of 8 s, and the next query was refused again.

Evidence: answer_does_not_end_the_ejection_of_a_stopping_aggregator (was late_answer_..., which is kept in it).

--- a/crates/limpet-decide/src/aggregator/peer_ejection.rs
+++ b/crates/limpet-decide/src/aggregator/peer_ejection.rs
@@ -34,6 +34,8 @@
 struct Failures {
     count: u32,
     ejected_until: Duration,
+    /// Whether it announced that it is about to stop.
+    is_stopping: bool,
 }
 
 /// Recent answers of one aggregator, which weigh less the older they are.
@@ -92,9 +94,13 @@
         Self::default()
     }
 
-    /// Records that an aggregator answered in time.
+    /// Records that an aggregator answered in time, which ends its ejection unless it is about to stop: it still answers
+    /// the queries that it has.
     pub fn record_success(&mut self, aggregator: SocketAddr, now: Duration) {
-        self.failures.remove(&aggregator);
+        let is_stopping =
+            |failures: &Failures| failures.is_stopping && now < failures.ejected_until;
+        self.failures
+            .retain(|addr, failures| *addr != aggregator || is_stopping(failures));
         self.record_answer(aggregator, false, now);
     }
 
@@ -145,6 +151,7 @@
         let failures = Failures {
             count: 0,
             ejected_until: now + EJECTION_TIME_MAX,
+            is_stopping: true,
         };
         self.failures.insert(aggregator, failures);
         self.answers.remove(&aggregator);
@@ -174,6 +181,7 @@
         let failures = self.failures.entry(aggregator).or_insert(Failures {
             count: 0,
             ejected_until: Duration::ZERO,
+            is_stopping: false,
         });
         let ejection_time = EJECTION_TIME_MIN * (1 << failures.count.min(4));
         failures.count += 1;
--- a/crates/limpet-decide/tests/aggregator.rs
+++ b/crates/limpet-decide/tests/aggregator.rs
@@ -420,13 +420,15 @@
     assert!(!ejection.is_ejected(addr(2), at(10_001)));
 }
 
-/// Guards against queries to an aggregator that is about to stop because a late answer shortened its ejection.
+/// Guards against queries to an aggregator that is about to stop because it answered the queries that it had, in time or
+/// late.
 #[test]
-fn late_answer_does_not_end_the_ejection_of_a_stopping_aggregator() {
+fn answer_does_not_end_the_ejection_of_a_stopping_aggregator() {
     let mut ejection = PeerEjection::new();
     ejection.record_success(addr(2), at(9_900));
     ejection.record_stopping(addr(1), at(10_000));
     ejection.record_late(addr(1), false, at(10_100));
+    ejection.record_success(addr(1), at(10_200));
     assert!(ejection.is_ejected(addr(1), at(17_900)));
     assert!(!ejection.is_ejected(addr(1), at(18_001)));
 }
