--- a/crates/limpet-decide/src/aggregator/peer_ejection.rs
+++ b/crates/limpet-decide/src/aggregator/peer_ejection.rs
@@ -10,6 +10,8 @@
 const EJECTION_TIME_MIN: Duration = Duration::from_millis(500);
 /// Longest duration of an ejection.
 const EJECTION_TIME_MAX: Duration = Duration::from_secs(8);
+/// Time after the end of an ejection in which a further failure leads to a longer one.
+const FORGET_FAILURES_AFTER: Duration = Duration::from_secs(60);
 
 /// Time after a lost query in which only aggregators are used that have answered shortly before or since.
 const PAUSE_TIME: Duration = Duration::from_millis(1500);
@@ -32,6 +34,8 @@
 struct Failures {
     count: u32,
     ejected_until: Duration,
+    /// Whether it announced that it is about to stop.
+    is_stopping: bool,
 }
 
 /// Recent answers of one aggregator, which weigh less the older they are.
@@ -90,9 +94,13 @@
         Self::default()
     }
 
-    /// Records that an aggregator answered in time.
+    /// Records that an aggregator answered in time, which ends its ejection unless it is about to stop: it still answers
+    /// the queries that it has.
     pub fn record_success(&mut self, aggregator: SocketAddr, now: Duration) {
-        self.failures.remove(&aggregator);
+        let is_stopping =
+            |failures: &Failures| failures.is_stopping && now < failures.ejected_until;
+        self.failures
+            .retain(|addr, failures| *addr != aggregator || is_stopping(failures));
         self.record_answer(aggregator, false, now);
     }
 
@@ -143,6 +151,7 @@
         let failures = Failures {
             count: 0,
             ejected_until: now + EJECTION_TIME_MAX,
+            is_stopping: true,
         };
         self.failures.insert(aggregator, failures);
         self.answers.remove(&aggregator);
@@ -164,15 +173,20 @@
         !answers.is_some_and(|answers| answers.is_since(lost.at))
     }
 
-    /// Ejects an aggregator, for longer with each further failure.
+    /// Ejects an aggregator, for longer with each further failure; never shortens an ejection.
     fn eject(&mut self, aggregator: SocketAddr, now: Duration) {
+        // Processes that left for good get no query whose success would remove them.
+        self.failures
+            .retain(|_, failures| now < failures.ejected_until + FORGET_FAILURES_AFTER);
         let failures = self.failures.entry(aggregator).or_insert(Failures {
             count: 0,
             ejected_until: Duration::ZERO,
+            is_stopping: false,
         });
         let ejection_time = EJECTION_TIME_MIN * (1 << failures.count.min(4));
         failures.count += 1;
-        failures.ejected_until = now + ejection_time.min(EJECTION_TIME_MAX);
+        let ejected_until = now + ejection_time.min(EJECTION_TIME_MAX);
+        failures.ejected_until = failures.ejected_until.max(ejected_until);
     }
 
     /// Records an answer, and forgets those that no longer count.
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -182,7 +182,7 @@
         let mut aggregators = AggregatorDirectory::new();
         aggregators.insert(settings.peer_addr, announcement(&settings).into_node());
         let deployment_state = DeploymentState::new(settings.lapse_limits);
-        let aggregation_slots = AggregationSlots::new(settings.capacity_cores);
+        let aggregation_slots = AggregationSlots::new();
         let retry_budgets = RetryBudgets::new(settings.retry_limits);
         let shutdown = ShutdownState::new(StopSchedule::new(settings.shutdown_timeout));
         Self {
@@ -428,7 +428,7 @@
         let process_count = self.rate_limiter().process_counts().total.max(1);
         let share = share.unwrap_or(1.0 / process_count as f64);
         let fleet = self.fleet();
-        let in_flight_per_slot = |service: &&str| {
+        let in_flight_per_slot = |service: &str| {
             let (in_flight_count, slot_count) = fleet.in_flight_and_slot_counts(service, now);
             let own_slots = f64::from(slot_count) * share;
             match own_slots > 0.0 {
@@ -436,7 +436,10 @@
                 false => f64::INFINITY,
             }
         };
-        services.iter().map(in_flight_per_slot).collect()
+        services
+            .iter()
+            .map(|service| in_flight_per_slot(service))
+            .collect()
     }
 
     /// Records a request for a service in its retry budget and in the load that this process reports.
