--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -490,8 +490,7 @@
 }
 
 impl Drop for ServiceAttempts {
-    /// The attempts of a part that is missing in a partial answer run on for the sake of their connections. Those of a
-    /// query without an answer, for example after its caller disconnected, are cancelled.
+    /// Cancels the attempts of a query without an answer; those that a partial answer lacks run on for a while.
     fn drop(&mut self) {
         if self.progress.is_answered() {
             self.detach_remaining_attempts();
