Assume a limit of 16 queries a core where none is stated

With 32, the model of a zone's surge no longer returned the queries to their zone: too high a limit hides the load of processes whose reports are missing. Evidence: aggregator_load, 27 passed; with 32 one of them failed.

--- a/crates/limpet-decide/src/aggregator/aggregator_load.rs
+++ b/crates/limpet-decide/src/aggregator/aggregator_load.rs
@@ -8,8 +8,9 @@
 const HALF_LIFE: Duration = Duration::from_secs(1);
 /// Weight of a missing report: the process is idle, or its reports do not arrive.
 const MISSING_REPORT_WEIGHT: f64 = 0.5;
-/// Queries per core that a process without a stated limit is assumed to run at a time.
-const ASSUMED_LIMIT_PER_CORE: f64 = 32.0;
+/// Queries per core that a process without a stated limit is assumed to run at a time. It is below the initial limit,
+/// because too high a limit hides the load of a zone whose processes do not report.
+const ASSUMED_LIMIT_PER_CORE: f64 = 16.0;
 /// Smallest limit that is assumed or accepted from a report.
 const LIMIT_MIN: f64 = 2.0;
 /// Largest limit per core that is accepted from a report, the largest that the admission control sets.
