Move report routes and slot use out of the shared state

Whom a process follows and the ways of its reports are plain functions of members/routes.rs, the use of the slots one of query/slot_use.rs; an announcement is built from the settings where its type is. No behavior changes.

--- a/crates/limpet-gateway/src/members/announcement.rs
+++ b/crates/limpet-gateway/src/members/announcement.rs
@@ -14,6 +14,8 @@
     Serialize, //
 };
 
+use crate::settings::Settings;
+
 /// First byte of the datagram. No report begins with it, since it begins no encoded number.
 const MARKER: u8 = 0xff;
 
@@ -29,6 +31,15 @@
 }
 
 impl Announcement {
+    /// Returns what a process with these settings announces about itself.
+    pub fn of(settings: &Settings) -> Self {
+        Self {
+            addr: settings.peer_addr,
+            zone: settings.zone.clone(),
+            capacity_cores: settings.capacity_cores,
+        }
+    }
+
     /// Returns whether a datagram holds an announcement rather than a report.
     pub fn is_announcement(datagram: &[u8]) -> bool {
         datagram.first() == Some(&MARKER)
--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -30,12 +30,12 @@
 };
 
 use super::{
-    Announcement,
-    NodeId,
-    REPORT_PERIOD,
-    Report,
-    Welcome,
-    load_reports::StoppedReports, //
+    Announcement, NodeId, REPORT_PERIOD, Report, Welcome,
+    load_reports::StoppedReports,
+    routes::{
+        own_report_routes,
+        zone_addrs, //
+    },
 };
 use crate::{
     rate::AdmissionCounts,
@@ -253,7 +253,7 @@
             *turn_routes = TurnRoutes {
                 turn_index,
                 versions,
-                routes: self.shared.report_routes(),
+                routes: own_report_routes(&self.shared),
             };
         }
         turn_routes.routes.clone()
@@ -316,7 +316,7 @@
 
     /// Announces this process on all of these ways.
     async fn send_announcement(&self, routes: &[ReportRoute]) {
-        match self.shared.own_announcement().encode() {
+        match Announcement::of(&self.shared.settings).encode() {
             Ok(bytes) => self.send_on_routes(&bytes, routes).await,
             Err(error) => tracing::error!(%error, "announcement cannot be encoded"),
         }
@@ -335,7 +335,7 @@
 
     /// Passes a datagram on to the other processes of the zone, except its sender.
     async fn relay(&self, bytes: &[u8], sender: SocketAddr) {
-        let mut addrs = self.shared.zone_addrs();
+        let mut addrs = zone_addrs(&self.shared);
         addrs.retain(|addr| *addr != sender);
         self.send_datagram(bytes, &addrs).await;
     }
--- a/crates/limpet-gateway/src/members/mod.rs
+++ b/crates/limpet-gateway/src/members/mod.rs
@@ -5,7 +5,9 @@
 mod load_reports;
 mod membership;
 mod message;
+mod routes;
 
+pub(crate) use self::routes::state_readers;
 pub use self::{
     announcement::Announcement,
     gossip::{
--- a/crates/limpet-gateway/src/query/admission.rs
+++ b/crates/limpet-gateway/src/query/admission.rs
@@ -40,7 +40,8 @@
         WaitVerdict, //
     },
     run_scatter_gather,
-    service_attempts::ServiceAttempts, //
+    service_attempts::ServiceAttempts,
+    slot_use::in_flight_per_slot, //
 };
 use crate::shared_state::SharedState;
 
@@ -69,7 +70,7 @@
             let mut shards: Vec<&str> = gather.shards.iter().map(|shard| &**shard).collect();
             // Routes of the group may list the shards in different orders.
             shards.sort_unstable();
-            query.shared.in_flight_per_slot(&shards)
+            in_flight_per_slot(&query.shared, &shards)
         }
         false => Vec::new(),
     };
--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -21,6 +21,7 @@
 mod service_attempts;
 mod service_error;
 mod service_targets;
+mod slot_use;
 mod split;
 
 pub use self::{
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -23,7 +23,6 @@
         AggregatorChoice,
         AggregatorChooser,
         AggregatorDirectory,
-        AggregatorNode,
         AggregatorUse,
         PeerEjection,
         Place,
@@ -38,21 +37,12 @@
     },
     quarantine::StrikeTable,
     shutdown::StopSchedule,
-    spread::{
-        ReaderRank,
-        Readers,
-        ReportPeer,
-        ReportRoute,
-        readers,
-        report_routes, //
-    },
 };
 use limpet_peer::PeerClient;
 use limpet_types::{
     deployment::Route,
     message::NameHash, //
 };
-use rand::Rng;
 use tokio::{
     sync::watch,
     task::JoinSet, //
@@ -93,15 +83,6 @@
 /// Idle timeout of connections to targets before one was seen, in milliseconds.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 3000;
 
-/// Returns what a process with these settings announces about itself.
-fn announcement(settings: &Settings) -> Announcement {
-    Announcement {
-        addr: settings.peer_addr,
-        zone: settings.zone.clone(),
-        capacity_cores: settings.capacity_cores,
-    }
-}
-
 /// Estimators of the time that callers have already waited, by team.
 type WaitTimeEstimatorsByTeam = HashMap<Box<str>, WaitTimeEstimator>;
 
@@ -180,7 +161,7 @@
         let is_first_start = settings.is_first_start;
         let body_memory = Arc::new(BodyMemory::new(settings.body_memory_bytes));
         let mut aggregators = AggregatorDirectory::new();
-        aggregators.insert(settings.peer_addr, announcement(&settings).into_node());
+        aggregators.insert(settings.peer_addr, Announcement::of(&settings).into_node());
         let deployment_state = DeploymentState::new(settings.lapse_limits);
         let aggregation_slots = AggregationSlots::new();
         let retry_budgets = RetryBudgets::new(settings.retry_limits);
@@ -224,11 +205,6 @@
         &self.admission
     }
 
-    /// Returns what this process announces about itself.
-    pub fn own_announcement(&self) -> Announcement {
-        announcement(&self.settings)
-    }
-
     /// Locks the directory of the processes that may run scatter-gather queries for this one.
     pub fn aggregators(&self) -> MutexGuard<'_, AggregatorDirectory> {
         lock(&self.aggregators)
@@ -264,55 +240,6 @@
             .retain(|addr| addr == own_addr || known.contains(&addr));
     }
 
-    /// Returns whom this process follows for the state of the deployment, chosen from the live processes.
-    pub fn readers(&self, live_addrs: &[SocketAddr]) -> Readers {
-        let aggregators = self.aggregators();
-        let live: Vec<ReaderRank<'_>> = live_addrs
-            .iter()
-            .map(|addr| {
-                let node = aggregators.node(*addr);
-                ReaderRank {
-                    addr: *addr,
-                    zone: node.map(|node| &*node.zone),
-                    capacity_millicores: node.map_or(0, AggregatorNode::capacity_millicores),
-                }
-            })
-            .collect();
-        readers(self.settings.peer_addr, &live)
-    }
-
-    /// Returns the addresses of the other processes of this zone that have announced themselves.
-    pub fn zone_addrs(&self) -> Vec<SocketAddr> {
-        let membership = self.membership();
-        let aggregators = self.aggregators();
-        let is_in_zone = |addr: &SocketAddr| {
-            let node = aggregators.node(*addr);
-            node.is_some_and(|node| node.zone == self.settings.zone)
-        };
-        membership.known_addrs().filter(is_in_zone).collect()
-    }
-
-    /// Returns the ways on which a report of this process reaches all others.
-    pub fn report_routes(&self) -> Vec<ReportRoute> {
-        let (addrs, live_addrs) = {
-            let membership = self.membership();
-            (membership.report_addrs(), membership.live_addrs(self.now()))
-        };
-        let aggregators = self.aggregators();
-        let peers: Vec<ReportPeer<'_>> = addrs
-            .into_iter()
-            .map(|addr| ReportPeer {
-                addr,
-                zone: aggregators.node(addr).map(|node| &*node.zone),
-                is_live: live_addrs.binary_search(&addr).is_ok(),
-            })
-            .collect();
-        let mut rng = rand::rng();
-        report_routes(&self.settings.zone, &peers, |count| {
-            rng.random_range(0..count)
-        })
-    }
-
     /// Locks the failures of aggregators.
     pub fn peer_ejection(&self) -> MutexGuard<'_, PeerEjection> {
         lock(&self.peer_ejection)
@@ -413,35 +340,6 @@
         SlackShare::new(use_share, process_counts.total, process_counts.silent)
     }
 
-    /// Returns for each service the requests of this process in flight per slot of its share of the targets.
-    ///
-    /// The share is its part of the reported requests for the service; without reports it is equal to that of any other
-    /// process. A service without usable slots has infinitely many requests per slot.
-    pub fn in_flight_per_slot(&self, services: &[&str]) -> Vec<f64> {
-        let now = self.now();
-        // All services of a group get the same requests.
-        let share = services.first().and_then(|service| {
-            let service = name_hash(service);
-            let own_per_s = self.load_tracker().reported_rate(service)?;
-            self.peer_loads().service_share(service, own_per_s, now)
-        });
-        let process_count = self.rate_limiter().process_counts().total.max(1);
-        let share = share.unwrap_or(1.0 / process_count as f64);
-        let fleet = self.fleet();
-        let in_flight_per_slot = |service: &str| {
-            let (in_flight_count, slot_count) = fleet.in_flight_and_slot_counts(service, now);
-            let own_slots = f64::from(slot_count) * share;
-            match own_slots > 0.0 {
-                true => f64::from(in_flight_count) / own_slots,
-                false => f64::INFINITY,
-            }
-        };
-        services
-            .iter()
-            .map(|service| in_flight_per_slot(service))
-            .collect()
-    }
-
     /// Records a request for a service in its retry budget and in the load that this process reports.
     pub fn record_service_request(&self, service: &str) {
         let now = self.now();
--- a/crates/limpet-gateway/src/state_updater.rs
+++ b/crates/limpet-gateway/src/state_updater.rs
@@ -37,6 +37,7 @@
 };
 
 use crate::{
+    members::state_readers,
     shared_state::SharedState,
     source::{
         Source,
@@ -126,7 +127,7 @@
     fn next_step(&mut self) -> RefreshStep {
         let shared = &self.shared;
         let live_addrs = shared.membership().live_addrs(shared.now());
-        let readers = shared.readers(&live_addrs);
+        let readers = state_readers(shared, &live_addrs);
         let now = shared.suspend_aware_now();
         let age = {
             let deployment_state = shared.deployment_state();
