Log when the concurrency limit of a group falls

OPERATIONS.md reads an overload from this line on, but nothing wrote it (found in the review). At most one line a second and group. Evidence: clippy clean, the admission tests of the gateway passed (3).

--- a/crates/limpet-gateway/src/query/admission_state.rs
+++ b/crates/limpet-gateway/src/query/admission_state.rs
@@ -37,6 +37,9 @@
 /// Time after which a queue that is not used is dropped.
 const UNUSED_TIME: Duration = Duration::from_secs(600);
 
+/// Shortest time between two log lines about a fall of the limit of a group.
+const FALL_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Verdict on a query that waited.
 pub(super) type WaitVerdict = Result<PermitGuard, Refusal>;
 
@@ -56,6 +59,9 @@
     queue: AdmissionQueue,
     senders: HashMap<u64, oneshot::Sender<WaitVerdict>>,
     episode: RefusalEpisode,
+    /// Limit of the latest log line about a fall, or the highest one since.
+    logged_limit: usize,
+    fall_logged_at: Duration,
     used_at: Duration,
     waiting_gauge: Gauge,
     limit_gauge: Gauge,
@@ -266,6 +272,8 @@
             AdmissionQueue::new(settings.overload, settings.capacity_cores, queue_bytes_max);
         let label = String::from(&*name);
         Self {
+            logged_limit: queue.limit().permit_count(),
+            fall_logged_at: Duration::ZERO,
             queue,
             senders: HashMap::new(),
             episode: RefusalEpisode::default(),
@@ -283,6 +291,7 @@
         refused_count: usize,
         now: Duration,
     ) -> Vec<(oneshot::Sender<WaitVerdict>, Verdict)> {
+        self.log_fall(now);
         let verdicts = self.queue.take_verdicts();
         let is_refusal = |verdict: &&(u64, Verdict)| matches!(verdict.1, Verdict::Refuse(_));
         let refused_count = refused_count + verdicts.iter().filter(is_refusal).count();
@@ -296,6 +305,26 @@
         deliveries.collect()
     }
 
+    /// Logs that the limit fell, with at most one line in a while.
+    fn log_fall(&mut self, now: Duration) {
+        let limit = self.queue.limit().permit_count();
+        if limit >= self.logged_limit {
+            self.logged_limit = limit;
+            return;
+        }
+        if now.saturating_sub(self.fall_logged_at) < FALL_LOG_INTERVAL {
+            return;
+        }
+        tracing::info!(
+            group = &*self.name,
+            limit,
+            limit_before = self.logged_limit,
+            "concurrency limit of a group fell"
+        );
+        self.logged_limit = limit;
+        self.fall_logged_at = now;
+    }
+
     /// Logs that the group begins or stops refusing queries.
     fn log_change(&self, change: EpisodeChange, now: Duration) {
         let (running, waiting) = (self.queue.running_count(), self.queue.waiting_count());
