Share two calculations and remove the unused run time of a query

The check of a configuration had a copy of the number of parts that a coverage needs; it calls gather::Parts, which the gateway uses. The part of a process in the reported requests was worked out twice. QueryContext::run_time had no caller, and the queue wait in RunStatistics served only it. No behavior changes.

--- a/crates/limpet-decide/src/config_check/route_rules.rs
+++ b/crates/limpet-decide/src/config_check/route_rules.rs
@@ -20,6 +20,7 @@
     Place,
     check::check_names, //
 };
+use crate::gather::Parts;
 
 /// Checks all routes.
 pub(super) fn check_routes(
@@ -181,7 +182,7 @@
     // One shard has no incomplete answer, whatever the coverage.
     } else if shard_count > 1
         && coverage_min < 1.0
-        && parts_min(coverage_min, shard_count) == shard_count
+        && Parts::new(shard_count, coverage_min).needed_count == shard_count
     {
         let text = format!(
             "a minimum coverage of {coverage_min} needs all {shard_count} shards: no incomplete answer reaches it"
@@ -189,9 +190,3 @@
         add(FindingKind::UnreachableCoverage, text);
     }
 }
-
-/// Returns how many parts an answer needs, as the gateway calculates it.
-fn parts_min(coverage_min: f64, shard_count: usize) -> usize {
-    // The subtraction keeps a rounding error from raising the number by one.
-    (coverage_min * shard_count as f64 - 1e-9).ceil().max(1.0) as usize
-}
--- a/crates/limpet-gateway/src/query/admission.rs
+++ b/crates/limpet-gateway/src/query/admission.rs
@@ -154,7 +154,6 @@
         Ok(permit) => {
             let waited = permit.waited();
             metrics::histogram!("limpet_queue_wait_seconds").record(waited.as_secs_f64());
-            query.run_statistics.set_queue_wait(waited);
             Ok(permit)
         }
         Err(refusal) => {
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -64,12 +64,6 @@
         self.request.request_id.to_str().unwrap_or("?")
     }
 
-    /// Returns the time since the query arrived, without its wait for a permit.
-    pub fn run_time(&self) -> Duration {
-        let queue_wait = self.run_statistics.queue_wait();
-        self.arrived_at.elapsed().saturating_sub(queue_wait)
-    }
-
     /// Returns the time since the caller's first attempt, as far as that is known.
     pub fn time_since_first_attempt(&self) -> Duration {
         (Instant::now() + self.route.latency_goal).saturating_duration_since(self.goal_at)
--- a/crates/limpet-gateway/src/query/run_statistics.rs
+++ b/crates/limpet-gateway/src/query/run_statistics.rs
@@ -1,12 +1,8 @@
 //! What the attempts of a query tell about its run.
 
-use std::{
-    sync::atomic::{
-        AtomicU32,
-        AtomicU64,
-        Ordering, //
-    },
-    time::Duration,
+use std::sync::atomic::{
+    AtomicU32,
+    Ordering, //
 };
 
 /// Counts of one run of a query, which the admission control learns from.
@@ -14,8 +10,6 @@
 pub struct RunStatistics {
     attempt_count: AtomicU32,
     rejected_attempt_count: AtomicU32,
-    /// Time for which the query waited for its permit, in microseconds.
-    queue_wait_us: AtomicU64,
 }
 
 impl RunStatistics {
@@ -35,15 +29,4 @@
     pub fn rejected_attempt_count(&self) -> u32 {
         self.rejected_attempt_count.load(Ordering::Relaxed)
     }
-
-    /// Sets the time for which the query waited for its permit.
-    pub(super) fn set_queue_wait(&self, queue_wait: Duration) {
-        let queue_wait_us = u64::try_from(queue_wait.as_micros()).unwrap_or(u64::MAX);
-        self.queue_wait_us.store(queue_wait_us, Ordering::Relaxed);
-    }
-
-    /// Returns the time for which the query waited for its permit.
-    pub fn queue_wait(&self) -> Duration {
-        Duration::from_micros(self.queue_wait_us.load(Ordering::Relaxed))
-    }
 }
--- a/crates/limpet-gateway/src/query/slot_use.rs
+++ b/crates/limpet-gateway/src/query/slot_use.rs
@@ -11,11 +11,9 @@
 pub(super) fn in_flight_per_slot(shared: &SharedState, services: &[&str]) -> Vec<f64> {
     let now = shared.now();
     // All services of a group get the same requests.
-    let share = services.first().and_then(|service| {
-        let service = name_hash(service);
-        let own_per_s = shared.load_tracker().reported_rate(service)?;
-        shared.peer_loads().service_share(service, own_per_s, now)
-    });
+    let share = services
+        .first()
+        .and_then(|service| shared.reported_share(name_hash(service), now));
     let process_count = shared.rate_limiter().process_counts().total.max(1);
     let share = share.unwrap_or(1.0 / process_count as f64);
     let fleet = shared.fleet();
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -331,11 +331,15 @@
         &self.retry_budgets
     }
 
+    /// Returns the part of this process in the reported requests for a service; `None` if it or all others reported none.
+    pub fn reported_share(&self, service: NameHash, now: Duration) -> Option<f64> {
+        let own_per_s = self.load_tracker().reported_rate(service)?;
+        self.peer_loads().service_share(service, own_per_s, now)
+    }
+
     /// Returns the share of this process in the slack of a service.
     fn slack_share(&self, service: NameHash, now: Duration) -> SlackShare {
-        let own_per_s = self.load_tracker().reported_rate(service);
-        let use_share = own_per_s
-            .and_then(|own_per_s| self.peer_loads().service_share(service, own_per_s, now));
+        let use_share = self.reported_share(service, now);
         let process_counts = self.rate_limiter().process_counts();
         SlackShare::new(use_share, process_counts.total, process_counts.silent)
     }
