Let free slots raise the limit of single lookups

Cause: after an overload the limit of single lookups of a process with 0.12 core stayed near its minimum of two while the targets were slow but had free slots. Run times between 0.4 and 0.8 of the goal neither raise nor lower the limit, and the baseline that would allow a rise is not learned while lookups wait. Lookups that free slots could have served were refused.

Change: the rule of free slots, so far for gathers only, holds for single lookups too. A fleet of more than 32 processes counts the reported requests in flight, because the part of one process there is about one slot; without reports nothing changes. `SlotUse` holds the calculation.

The gateway test `limit_of_lookups_rises_while_slots_are_free` failed without the change.

--- a/crates/limpet-decide/src/admission/mod.rs
+++ b/crates/limpet-decide/src/admission/mod.rs
@@ -11,6 +11,7 @@
 mod retry_after;
 mod route_runs;
 mod service_pressure;
+mod slot_use;
 mod waiting_queue;
 
 pub use self::{
@@ -35,6 +36,7 @@
     retry_after::retry_after,
     route_runs::RouteRuns,
     service_pressure::ServicePressure,
+    slot_use::SlotUse,
     waiting_queue::{
         Arrival,
         WaitingQueue, //
--- a/crates/limpet-gateway/src/query/admission.rs
+++ b/crates/limpet-gateway/src/query/admission.rs
@@ -29,11 +29,7 @@
 };
 
 use super::{
-    Answer,
-    Outcome,
-    QueryContext,
-    RequestError,
-    RequestErrorKind,
+    Answer, Outcome, QueryContext, RequestError, RequestErrorKind,
     admission_state::{
         GroupKey,
         PermitGuard,
@@ -41,7 +37,10 @@
     },
     run_scatter_gather,
     service_attempts::ServiceAttempts,
-    slot_use::in_flight_per_slot, //
+    slot_use::{
+        in_flight_per_slot,
+        lookup_in_flight_per_slot, //
+    },
 };
 use crate::shared_state::SharedState;
 
@@ -95,8 +94,12 @@
         }),
         Err(error) => Err(RequestError::may_have_run(error.kind)),
     };
+    let in_flight_per_slot = match permit.is_group_loaded() {
+        true => vec![lookup_in_flight_per_slot(&query.shared, service)],
+        false => Vec::new(),
+    };
     let services = ServiceUse {
-        in_flight_per_slot: &[],
+        in_flight_per_slot: &in_flight_per_slot,
         needed_count: 1,
     };
     end_run(&query, permit, key, outcome, 1, &services)
--- a/crates/limpet-gateway/src/target/mod.rs
+++ b/crates/limpet-gateway/src/target/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod one_target;
 mod room_notifier;
+mod service_load;
 mod target_health;
 mod target_reply;
 
--- a/crates/limpet-gateway/tests/admission.rs
+++ b/crates/limpet-gateway/tests/admission.rs
@@ -9,7 +9,10 @@
 
 use futures::future::join_all;
 use limpet_types::{
-    deployment::Idempotency,
+    deployment::{
+        Idempotency,
+        TargetRecord, //
+    },
     message::{
         GatherRefusal,
         GatherReply,
@@ -46,17 +49,23 @@
 /// Starts a small gateway with a route to one target.
 async fn start_gateway() -> (RunningGateway, FakeTarget) {
     let target = FakeTarget::always(Behaviour::Answer(200, b"good", REPLY_DELAY)).await;
+    let gateway = start_gateway_with(target_record("s", target.addr)).await;
+    (gateway, target)
+}
+
+/// Starts a small gateway with a route to the target of a record.
+async fn start_gateway_with(record: TargetRecord) -> RunningGateway {
     let deployment = Deployment::new();
     // Without hedges, so that each request reaches the target once.
     let mut route = route("/one/", Idempotency::AtMostOnce, "s");
     route.latency_goal = GOAL;
     deployment.publish_config(config(1, vec![route], &["s"]));
-    deployment.publish_target("t", target_record("s", target.addr));
+    deployment.publish_target("t", record);
     let mut settings = settings(&unused_loopback_ip(), PEER_PORT).await;
     settings.capacity_cores = SMALL_CAPACITY_CORES;
     let gateway = RunningGateway::start_with(settings, &deployment).await;
     gateway.wait_ready().await;
-    (gateway, target)
+    gateway
 }
 
 /// Checks that a reply refuses a query as not run, with a time for the retry.
@@ -142,3 +151,24 @@
     check_refused(&reply);
     assert!(target.received_requests().is_empty());
 }
+
+/// Guards against a limit of single lookups that stays at its minimum although the slots of the targets are free: the
+/// run time of slow targets allows no rise, and it is not learned as usual while lookups wait.
+#[tokio::test]
+async fn limit_of_lookups_rises_while_slots_are_free() {
+    let slow_reply = Behaviour::Answer(200, b"good", GOAL / 2);
+    let target = FakeTarget::always(slow_reply).await;
+    let record = TargetRecord {
+        slots: 32,
+        ..target_record("s", target.addr)
+    };
+    let gateway = start_gateway_with(record).await;
+    let mut served_counts = Vec::new();
+    // The limit is two and rises by two with each answer, and a lookup can't wait for another one and be in time.
+    for _ in 0..2 {
+        let replies = join_all((0..5).map(|_| get(gateway.caller_addr, "/one/a"))).await;
+        let served = replies.iter().filter(|reply| reply.status == 200);
+        served_counts.push(served.count());
+    }
+    assert_eq!(served_counts[1], 5, "{served_counts:?}");
+}
