End the wait of a first attempt while a reply could still arrive

Change: the wait ends before the deadline by the mean time of an attempt of the route, once that is known. The part has not run then; a gather whose coverage is out of reach ends at once, as after other failed parts. Attempts that find a free target start as before.

Evidence: `waiting_attempts.rs` `lookup_ends_while_it_could_still_be_served` and `gather_ends_when_its_coverage_is_out_of_reach` failed before the change (other status) and pass.

--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -23,6 +23,7 @@
 mod service_targets;
 mod slot_use;
 mod split;
+mod wanted_attempt;
 
 pub use self::{
     admission::complete_error,
--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -20,8 +20,7 @@
 };
 
 use super::{
-    QueryContext,
-    RequestErrorKind,
+    QueryContext, RequestErrorKind,
     attempt::run_attempt,
     attempt_wait::AttemptWait,
     detached_attempts::{
@@ -33,7 +32,11 @@
         ServiceError,
         TIMED_OUT, //
     },
-    service_targets::ServiceTargets, //
+    service_targets::ServiceTargets,
+    wanted_attempt::{
+        Start,
+        Wanted, //
+    },
 };
 use crate::target::{
     AttemptError,
@@ -49,31 +52,6 @@
 /// Fraction of the latency goal within which a request that has not run anywhere is refused if no target takes it.
 const REFUSAL_GOAL_FRACTION: f64 = 0.25;
 
-/// Cause of a hedge in logs and metrics.
-const HEDGE_CAUSE: &str = "straggler";
-
-/// An attempt that should start as soon as that is possible.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Wanted {
-    /// The first attempt.
-    First,
-    /// An attempt after another one failed, for this reason.
-    Retry(&'static str),
-    /// An attempt while another one is in flight.
-    Hedge,
-}
-
-/// Result of a try to start an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Start {
-    /// The attempt is in flight.
-    Started,
-    /// The attempt waits for budget or for room.
-    Waiting,
-    /// The attempt is not allowed or not possible.
-    Impossible,
-}
-
 /// All attempts of one query at one service, with the rules for retries and hedges.
 pub(super) struct ServiceAttempts {
     query: Arc<QueryContext>,
@@ -277,11 +255,7 @@
         if !self.is_allowed(wanted) {
             return Start::Impossible;
         }
-        let extra = match wanted {
-            Wanted::First => None,
-            Wanted::Retry(cause) => Some((ExtraAttempt::Retry, cause)),
-            Wanted::Hedge => Some((ExtraAttempt::Hedge, HEDGE_CAUSE)),
-        };
+        let extra = wanted.extra();
         // An attempt that reached no target caused no load, so the one that replaces it needs no budget.
         let spent = extra.filter(|_| self.arrived_attempts > 0);
         if let Some((kind, cause)) = spent
@@ -380,17 +354,19 @@
 
     /// Returns the time until which a wanted attempt waits.
     ///
-    /// A late part is hardly worth the room that it takes, and a request that ran nowhere should be refused early.
+    /// A late part is hardly worth the room that it takes, and a request that ran nowhere should be refused early: it
+    /// does not wait once a reply could no longer arrive in time.
     fn wait_limit(&self, wanted: Wanted) -> Instant {
-        let latest = self
-            .query
-            .deadline
-            .checked_sub(ATTEMPT_TIME_MIN)
-            .unwrap_or(self.query.deadline);
+        let before_deadline = |duration: Duration| {
+            let deadline = self.query.deadline;
+            deadline.checked_sub(duration).unwrap_or(deadline)
+        };
+        let latest = before_deadline(ATTEMPT_TIME_MIN);
         let refusal_at =
             self.started_at + self.query.route.latency_goal.mul_f64(REFUSAL_GOAL_FRACTION);
         match wanted {
-            Wanted::First | Wanted::Hedge => latest,
+            Wanted::First => latest.min(before_deadline(self.usual_duration())),
+            Wanted::Hedge => latest,
             Wanted::Retry(_) if self.progress.may_have_run() => {
                 latest.min(self.query.goal_at.max(refusal_at))
             }
@@ -398,6 +374,14 @@
         }
     }
 
+    /// Returns the usual duration of an attempt of the route; zero if it is not known.
+    fn usual_duration(&self) -> Duration {
+        let shared = &self.query.shared;
+        let mean_latency =
+            shared.with_route_latency(&self.query.route.name, |latency| latency.mean());
+        mean_latency.unwrap_or_default()
+    }
+
     /// Returns the rank of this request among those that wait.
     fn rank(&self) -> RetryRank {
         let goal_left = self.query.goal_at.saturating_duration_since(Instant::now());
--- a/crates/limpet-gateway/tests/waiting_attempts.rs
+++ b/crates/limpet-gateway/tests/waiting_attempts.rs
@@ -14,6 +14,7 @@
     time::Duration,
 };
 
+use futures::future::join_all;
 use limpet_decide::attempt_budget::RetryRank;
 use limpet_gateway::ranked_waiters::RankedWaiters;
 use limpet_types::deployment::{
@@ -187,6 +188,56 @@
     assert!(started_at.elapsed() < Duration::from_millis(200));
 }
 
+/// Time in which the target of the blocked service usually replies, and timeout of the route.
+const USUAL_DELAY: Duration = Duration::from_millis(300);
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Occupies all connections to the only target of a service, and checks that a request at `path` that needs the target
+/// ends with `status` at the latest time at which a reply could still arrive in time.
+async fn first_attempt_waits_in_vain((path, status): (&'static str, u16)) {
+    let connection_count = 20;
+    let target = FakeTarget::start(|_, request| match request.line.contains("/silent") {
+        true => Behaviour::Silent,
+        false => Behaviour::Answer(200, RECORD, USUAL_DELAY),
+    })
+    .await;
+    let other = FakeTarget::always(Behaviour::Answer(200, RECORD, USUAL_DELAY)).await;
+    let mut routes = vec![
+        scatter_gather_route("/all/", &["s0", "s1"], 1.0),
+        route("/one/", Idempotency::AtMostOnce, "s0"),
+    ];
+    for route in &mut routes {
+        route.timeout = TIMEOUT;
+        route.attempts_max = 1;
+    }
+    let mut config = config(1, routes, &["s0", "s1"]);
+    // A part of the connections is kept as headroom.
+    config.services[0].connections_max = connection_count * 5 / 4;
+    let gateway = start_gateway(config, &[&[&target], &[&other]], 54.0).await;
+    let addr = gateway.caller_addr;
+    let usual = (0..connection_count).map(|_| async { get(addr, path).await.status });
+    assert!(join_all(usual).await.iter().all(|status| *status == 200));
+    for _ in 0..connection_count + 5 {
+        tokio::spawn(get(addr, "/one/silent"));
+    }
+    sleep(TIMEOUT / 20).await;
+    let started_at = Instant::now();
+    let reply = get(addr, path).await;
+    let elapsed = started_at.elapsed();
+    assert_eq!(reply.status, status);
+    // Half of the difference to the deadline is a margin for a busy machine.
+    assert!(elapsed < TIMEOUT - USUAL_DELAY / 2, "{elapsed:?}");
+    assert!(elapsed > TIMEOUT / 2, "{elapsed:?}");
+}
+
+// Guards against a request that waits for a target until its deadline although it could no longer be served by then. A
+// gather whose other part has run ends at the same time.
+limpet_testkit::async_cases! {
+    first_attempt_waits_in_vain:
+    lookup_ends_while_it_could_still_be_served => ("/one/a", 503),
+    gather_ends_when_its_coverage_is_out_of_reach => ("/all/a", 502),
+}
+
 const fn rank(priority: u32, missing_count: usize, goal_ms: u64) -> RetryRank {
     RetryRank {
         priority,
