Refuse a gather that one aggregator calls busy and the other does not start

Cause: if one of two aggregators answered `Busy` and the other did not start the query (stopping, unreachable, other configuration), the query ran on new connections of the process that received it, which adds to the overload.

Change: it is refused as overloaded, as after two `Busy` answers, unless this process has idle connections to as many shards as an answer needs. Neither aggregator started it, so it has not run. The expected wait of the refusal is that of the busy ones only.

Evidence: in `admission.rs` of the gateway `query_that_one_aggregator_refuses_as_busy_is_refused` and `query_that_the_second_aggregator_refuses_as_busy_is_refused` failed before and pass; further cases show that the query runs here on open connections, and if no aggregator called itself busy. The former test of two busy aggregators is a case of the same name with the same checks.

--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -15,6 +15,7 @@
         Place,
         Urgency, //
     },
+    gather::Parts,
     peer_load::ReportedGatherLoad,
 };
 use limpet_peer::{
@@ -81,24 +82,27 @@
     }
     let shard_shares = shared.fleet().shard_shares(&gather.shards, shared.now());
     let mut refused_by = Vec::new();
-    let mut busy_count = 0;
+    let mut busy = Vec::new();
     while refused_by.len() < AGGREGATORS_MAX {
         let aggregator = match choose_place(&query, &shard_shares, &refused_by) {
             Place::At(aggregator) => aggregator,
             Place::Here => break,
-            Place::AllBusy => return Err(refuse_busy(&query, &refused_by)),
+            Place::AllBusy => return Err(refuse_busy(&query, &busy)),
         };
         match aggregate_at(&query, aggregator).await {
             Aggregation::Ended(outcome) => return outcome,
             Aggregation::NotStarted => refused_by.push(aggregator),
             Aggregation::Busy => {
                 refused_by.push(aggregator);
-                busy_count += 1;
+                busy.push(aggregator);
             }
         }
     }
-    if busy_count == AGGREGATORS_MAX {
-        return Err(refuse_busy(&query, &refused_by));
+    // The group is overloaded, and a query on new connections here would only add to the load of its targets.
+    let is_busy_elsewhere = !busy.is_empty() && refused_by.len() == AGGREGATORS_MAX;
+    if is_busy_elsewhere && (busy.len() == AGGREGATORS_MAX || !has_warm_connections(&query, gather))
+    {
+        return Err(refuse_busy(&query, &busy));
     }
     metrics::counter!("limpet_gathers_total", "place" => "here").increment(1);
     run_here(&query, gather, &shard_shares).await
@@ -116,6 +120,17 @@
         .all(|service| connections_share(service.connections_max, process_count) >= 1.0)
 }
 
+/// Returns whether this process holds idle connections to as many shards as an answer needs.
+fn has_warm_connections(query: &QueryContext, gather: &ScatterGather) -> bool {
+    let shared = &query.shared;
+    let now = shared.now();
+    let needed_count = Parts::new(gather.shards.len(), gather.coverage_min).needed_count;
+    let fleet = shared.fleet();
+    let shards = gather.shards.iter();
+    let warm = shards.filter(|shard| fleet.has_idle_connection(shard, now));
+    warm.count() >= needed_count
+}
+
 /// Runs a query in this process, with the connections of an aggregator if it is one.
 async fn run_here(
     query: &QueryContext,
--- a/crates/limpet-gateway/src/target/connection_pool.rs
+++ b/crates/limpet-gateway/src/target/connection_pool.rs
@@ -24,6 +24,11 @@
         None
     }
 
+    /// Returns whether a usable connection is idle.
+    pub fn has_idle(&self) -> bool {
+        self.idle.iter().any(Connection::is_usable)
+    }
+
     /// Reserves capacity for a new connection; returns false if `limit` or more connections are open.
     pub fn reserve(&mut self, limit: usize) -> bool {
         let has_capacity = self.open_count < limit;
--- a/crates/limpet-gateway/src/target/service_load.rs
+++ b/crates/limpet-gateway/src/target/service_load.rs
@@ -1,4 +1,4 @@
-//! Reported load of all targets of a service.
+//! Reported load of the targets of a service, and connections to them.
 
 use std::time::Duration;
 
@@ -14,4 +14,10 @@
             .map(|target| target.load().reported_in_flight(now))
             .sum()
     }
+
+    /// Returns whether this process holds an idle connection to a target of a service that accepts new requests.
+    pub fn has_idle_connection(&self, service: &str, now: Duration) -> bool {
+        let mut targets = self.targets(service).iter();
+        targets.any(|target| target.allows_request(now) && target.pool().has_idle())
+    }
 }
--- a/crates/limpet-gateway/tests/admission.rs
+++ b/crates/limpet-gateway/tests/admission.rs
@@ -2,9 +2,18 @@
 
 mod support;
 
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use futures::future::join_all;
@@ -123,9 +132,11 @@
     assert_eq!(statuses, [200, 200]);
 }
 
-/// Guards against running a query on few connections after two aggregators refused it because they are busy.
-#[tokio::test]
-async fn query_that_two_aggregators_refuse_as_busy_is_refused() {
+/// Starts a small gateway with one target, and aggregators that answer the queries with these refusals in turn, beginning
+/// anew after the last one.
+async fn start_refused_gateway(
+    refusals: &'static [GatherRefusal],
+) -> (RunningGateway, FakeTarget, Vec<FakePeer>) {
     let target = FakeTarget::always(Behaviour::Answer(200, b"aaaaaaaaaaaaaaaa", REPLY_DELAY)).await;
     let deployment = Deployment::new();
     let mut config = config(1, vec![scatter_gather_route("/all/", &["s"], 1.0)], &["s"]);
@@ -137,19 +148,57 @@
     let gateway = RunningGateway::start_with(settings, &deployment).await;
     gateway.wait_ready().await;
     let mut peers = Vec::new();
+    let query_count = Arc::new(AtomicUsize::new(0));
     // One more than are asked, so that the gateway's own place among the largest is never drawn.
     for _ in 0..3 {
         let report_to = [gateway.peer_addr];
         let ip = unused_loopback_ip();
-        let peer = FakePeer::start(&ip, 4.0, &report_to, |_| async {
-            PeerReply::Gather(GatherReply::Refused(GatherRefusal::Busy))
+        let query_count = Arc::clone(&query_count);
+        let peer = FakePeer::start(&ip, 4.0, &report_to, move |_| {
+            let index = query_count.fetch_add(1, Ordering::Relaxed);
+            let refusal = refusals[index % refusals.len()];
+            async move { PeerReply::Gather(GatherReply::Refused(refusal)) }
         });
         peers.push(peer.await);
     }
     sleep(DISCOVERY_TIME).await;
-    let reply = get(gateway.caller_addr, "/all/q").await;
-    check_refused(&reply);
-    assert!(target.received_requests().is_empty());
+    (gateway, target, peers)
+}
+
+/// Sends queries one after the other, checks which are served and that the others are refused without having run.
+async fn aggregators_refuse((refusals, is_served): (&'static [GatherRefusal], &[bool])) {
+    let (gateway, target, _peers) = start_refused_gateway(refusals).await;
+    for (index, is_served) in is_served.iter().enumerate() {
+        let request_count = target.received_requests().len();
+        let reply = get(gateway.caller_addr, "/all/q").await;
+        if *is_served {
+            assert_eq!(reply.status, 200, "query {index}");
+        } else {
+            check_refused(&reply);
+            assert_eq!(target.received_requests().len(), request_count);
+        }
+    }
+}
+
+// Guards against running a query on new connections after an aggregator refused it as busy and no other one started it, and
+// against refusing a query that this process can run on open connections or that no aggregator refused as busy.
+limpet_testkit::async_cases! {
+    aggregators_refuse:
+    query_that_two_aggregators_refuse_as_busy_is_refused => (&[GatherRefusal::Busy], &[false]),
+    query_that_one_aggregator_refuses_as_busy_is_refused =>
+        (&[GatherRefusal::Busy, GatherRefusal::OtherConfig], &[false]),
+    query_that_the_second_aggregator_refuses_as_busy_is_refused =>
+        (&[GatherRefusal::Stopping, GatherRefusal::Busy], &[false]),
+    query_that_no_aggregator_refuses_as_busy_runs_here => (&[GatherRefusal::OtherConfig], &[true]),
+    query_that_one_aggregator_refuses_as_busy_runs_on_open_connections => (
+        &[
+            GatherRefusal::OtherConfig,
+            GatherRefusal::OtherConfig,
+            GatherRefusal::Busy,
+            GatherRefusal::OtherConfig,
+        ],
+        &[true, true],
+    ),
 }
 
 /// Guards against a limit of single lookups that stays at its minimum although the slots of the targets are free: the
