Report unknown fields and the order of routes in the configuration check

Cause: a misspelled optional field of a configuration counts as absent, and the check accepted it. A change in the order of routes can give the requests of one route to another, and the comparison with the version in force did not show it.

Change: a field that the format does not define is an error with its place and the nearest known name (`strsim`, which clap already brings). The known names come from the types of the decoder, so that there is no second list; the fields that the platform defines and the gateway does not use are listed beside it. In a team, the name is shown only if it resembles a known one, because it may be an API key. Among routes of equal host and prefix the first gets all requests; if that is another one than in the version in force, it is a difference. The order of other routes has no effect and is not compared.

Evidence: `check_config.rs` `unknown_fields`, `misspelled_field_that_is_required` and `order_of_routes`, and two cases of `order_is_compared` in `config_check_fields.rs`, failed with the calls removed and pass. `check_follows_gateway.rs` compares the rule of the order with `RouteTable`; its test of shadowed routes builds its configuration by a shared function, with the same checks.

--- a/crates/limpet-decide/src/config_check/compare.rs
+++ b/crates/limpet-decide/src/config_check/compare.rs
@@ -21,6 +21,7 @@
         service_fields,
         team_fields, //
     },
+    route_order::compare_order,
 };
 
 /// Result of a comparison.
@@ -34,8 +35,8 @@
 
 /// Compares a configuration with the version in force.
 ///
-/// Entries are matched by name, and those of equal names in their order. The order of entries, shards and keys is not
-/// compared. A configuration that is equal to the one in force needs no higher version.
+/// Entries are matched by name, and those of equal names in their order. The order is compared only for routes of equal host
+/// and prefix, of which the first one gets all requests. It has no effect for other routes, services, shards and keys. A configuration that is equal to the one in force needs no higher version.
 pub fn compare(config: &Config, in_force: &Config) -> Comparison {
     let mut differences = compare_fields(
         &Place::Config,
@@ -49,6 +50,7 @@
         Place::route,
         |place, old, new| compare_fields(place, &route_fields(old), &route_fields(new)),
     ));
+    differences.extend(compare_order(&in_force.routes, &config.routes));
     differences.extend(compare_entries(
         &in_force.services,
         &config.services,
--- a/crates/limpet-decide/src/config_check/finding_kind.rs
+++ b/crates/limpet-decide/src/config_check/finding_kind.rs
@@ -12,6 +12,8 @@
 /// Rule that is broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum FindingKind {
+    /// An entry has a field that the format does not define, so it has no effect.
+    UnknownField,
     /// A route refers to a service that is not in the configuration.
     UnknownService,
     /// A route has no host.
@@ -74,7 +76,8 @@
     /// Returns how much the finding matters.
     pub const fn severity(self) -> Severity {
         match self {
-            Self::UnknownService
+            Self::UnknownField
+            | Self::UnknownService
             | Self::EmptyHost
             | Self::EmptyPrefix
             | Self::EmptyName
@@ -108,6 +111,7 @@
     /// Returns the name for programs, which does not change.
     pub const fn name(self) -> &'static str {
         match self {
+            Self::UnknownField => "unknown_field",
             Self::UnknownService => "unknown_service",
             Self::EmptyHost => "empty_host",
             Self::EmptyPrefix => "empty_prefix",
--- a/crates/limpet-decide/src/config_check/mod.rs
+++ b/crates/limpet-decide/src/config_check/mod.rs
@@ -12,9 +12,11 @@
 mod finding;
 mod finding_kind;
 mod place;
+mod route_order;
 mod route_rules;
 mod service_rules;
 mod team_rules;
+mod unknown_field;
 
 pub use self::{
     check::{
@@ -35,4 +37,5 @@
         Severity, //
     },
     place::Place,
+    unknown_field::UnknownField,
 };
--- a/crates/limpet-decide/src/config_check/place.rs
+++ b/crates/limpet-decide/src/config_check/place.rs
@@ -34,7 +34,7 @@
 
 impl Place {
     /// Returns the place of the route at an index.
-    pub(super) fn route(index: usize, name: &str) -> Self {
+    pub fn route(index: usize, name: &str) -> Self {
         Self::Route {
             number: index + 1,
             name: name.into(),
@@ -42,7 +42,7 @@
     }
 
     /// Returns the place of the service at an index.
-    pub(super) fn service(index: usize, name: &str) -> Self {
+    pub fn service(index: usize, name: &str) -> Self {
         Self::Service {
             number: index + 1,
             name: name.into(),
@@ -50,7 +50,7 @@
     }
 
     /// Returns the place of the team at an index.
-    pub(super) fn team(index: usize, name: &str) -> Self {
+    pub fn team(index: usize, name: &str) -> Self {
         Self::Team {
             number: index + 1,
             name: name.into(),
--- a/crates/limpet-decide/src/config_check/route_rules.rs
+++ b/crates/limpet-decide/src/config_check/route_rules.rs
@@ -94,7 +94,7 @@
 }
 
 /// Returns a host as the gateway compares it: in lower case and without its port.
-fn normalize_host(host: &str) -> String {
+pub(super) fn normalize_host(host: &str) -> String {
     let name = match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
         _ => host,
