--- a/crates/limpet-decide/tests/admission_lookups.rs
+++ b/crates/limpet-decide/tests/admission_lookups.rs
@@ -158,3 +158,55 @@
     reports_show_twice_the_load => (first_deployment(), 29, 2.0),
     small_site => (vec![0.12; 7], 10, 0.0),
 }
+
+/// Returns the part of the lookups that are answered in time with targets that stay slow.
+fn in_time_share(scene: &Scene) -> f64 {
+    let results = (1..=4).map(|seed| {
+        run(&Scene {
+            seed,
+            ..scene.clone()
+        })
+    });
+    let (in_time, all) = results.fold((0, 0), |(in_time, all), result| {
+        (in_time + result.in_time_count, all + result.lookup_count)
+    });
+    f64::from(in_time) / f64::from(all)
+}
+
+/// Checks that the rule costs no answers in time when `slow_fraction` of the targets take `slow_factor` times as long.
+fn slow_targets_cost_no_answers(
+    (capacities_cores, per_s, slow_fraction, slow_factor, reported_weight): (
+        Vec<f64>,
+        f64,
+        f64,
+        f64,
+        f64,
+    ),
+) {
+    let phases = [
+        phase(0, 30.0, 0.0, 1.0),
+        phase(5, per_s, slow_fraction, slow_factor),
+    ];
+    let with = Scene {
+        reported_weight,
+        ..scene(capacities_cores, &phases, 0)
+    };
+    let without = Scene {
+        knows_slot_use: false,
+        ..with.clone()
+    };
+    let shares = [&with, &without].map(in_time_share);
+    assert!(shares[0] > shares[1] - 0.02, "{shares:?}");
+}
+
+// Guards against slots that count as free, so that more lookups are admitted than can be in time: those of slow targets are
+// nearly all in use, or only those of other targets are free.
+limpet_testkit::cases! {
+    slow_targets_cost_no_answers:
+    all_slots_nearly_in_use => (first_deployment(), 75.0, 1.0, 5.0, 0.6),
+    all_slots_nearly_in_use_with_new_reports => (first_deployment(), 75.0, 1.0, 5.0, 0.85),
+    answers_hardly_in_time => (first_deployment(), 60.0, 1.0, 6.0, 0.7),
+    some_targets_full => (first_deployment(), 240.0, 0.3, 4.0, 0.7),
+    half_of_the_targets_full => (first_deployment(), 120.0, 0.5, 6.0, 0.7),
+    some_targets_full_on_a_small_site => (vec![0.12; 7], 240.0, 0.3, 4.0, 0.0),
+}
