--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -17,8 +17,7 @@
 };
 
 use super::{
-    QueryContext,
-    RequestErrorKind,
+    QueryContext, RequestErrorKind,
     attempt::run_attempt,
     attempt_wait::AttemptWait,
     detached_attempts::{
@@ -31,7 +30,11 @@
         ServiceError,
         TIMED_OUT, //
     },
-    service_targets::ServiceTargets, //
+    service_targets::ServiceTargets,
+    wanted_attempt::{
+        Start,
+        Wanted, //
+    },
 };
 use crate::target::{
     AttemptError,
@@ -47,37 +50,6 @@
 /// Fraction of the latency goal within which a request that has not run anywhere is refused if no target takes it.
 const REFUSAL_GOAL_FRACTION: f64 = 0.25;
 
-/// Cause of a hedge in logs and metrics.
-const HEDGE_CAUSE: &str = "straggler";
-
-/// An attempt that should start as soon as that is possible.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Wanted {
-    /// The first attempt.
-    First,
-    /// An attempt after another one failed, for this reason.
-    Retry(&'static str),
-    /// An attempt while another one is in flight, perhaps before the usual delay of hedges.
-    Hedge(ExtraAttempt),
-}
-
-impl Wanted {
-    const fn is_hedge(self) -> bool {
-        matches!(self, Self::Hedge(_))
-    }
-}
-
-/// Result of a try to start an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Start {
-    /// The attempt is in flight.
-    Started,
-    /// The attempt waits for budget or for room.
-    Waiting,
-    /// The attempt is not allowed or not possible.
-    Impossible,
-}
-
 /// All attempts of one query at one service, with the rules for retries and hedges.
 pub(super) struct ServiceAttempts {
     query: Arc<QueryContext>,
@@ -94,6 +66,8 @@
     arrived_attempts: u32,
     /// Whether a target may have run the request.
     may_have_run: bool,
+    /// Whether the request has earned budget.
+    is_recorded: bool,
     attempts_in_flight: AttemptsInFlight,
     /// Latest error reply of a target.
     last_failed_reply: Option<TargetReply>,
@@ -125,6 +99,7 @@
             counted_attempts: 0,
             arrived_attempts: 0,
             may_have_run: false,
+            is_recorded: false,
             attempts_in_flight: AttemptsInFlight::new(),
             last_failed_reply: None,
             wanted: Some(Wanted::First),
@@ -173,7 +148,7 @@
                         return Ok(reply);
                     }
                 }
-                () = self.wait.woken(), if self.wanted.is_some() => {}
+                () = self.wait.woken(), if self.wanted.is_some() => self.targets.asked.record_room(),
                 // The hedge of one of the last parts is due earlier.
                 () = self.progress.reach_last_parts(), if awaits_last_parts => {}
                 () = sleep_until(timer.min(self.query.deadline)) => self.handle_timer()?,
@@ -227,10 +202,16 @@
                 if is_not_run {
                     self.counted_attempts = self.counted_attempts.saturating_sub(1);
                     self.progress.record_not_run();
-                    // Another target at the address rejects the request however often it is asked.
-                    if error.kind != AttemptErrorKind::WrongTarget {
-                        let now = self.query.shared.now();
-                        self.targets.asked.record_rejection(&target.id, now);
+                    let now = self.query.shared.now();
+                    let asked = &mut self.targets.asked;
+                    match error.kind {
+                        // Another target at the address rejects the request however often it is asked.
+                        AttemptErrorKind::WrongTarget => {}
+                        // The target may get a free connection at any time.
+                        AttemptErrorKind::ConnectionLimit => {
+                            asked.record_no_connection(&target.id, now);
+                        }
+                        _ => asked.record_rejection(&target.id, now),
                     }
                 }
                 if !error.kind.may_have_arrived() {
@@ -242,7 +223,11 @@
         };
         if may_retry {
             self.wait.clear();
-            self.wanted = Some(Wanted::Retry(cause));
+            // A request that was only short of a connection goes on waiting as one that found no room.
+            self.wanted = match self.arrived_attempts == 0 && !self.targets.asked.has_asked() {
+                true => Some(Wanted::First),
+                false => Some(Wanted::Retry(cause)),
+            };
         }
         if self.attempts_in_flight.is_empty() {
             self.progress.record_idle(self.part, may_retry);
@@ -277,11 +262,7 @@
         if !self.is_allowed(wanted) {
             return Start::Impossible;
         }
-        let extra = match wanted {
-            Wanted::First => None,
-            Wanted::Retry(cause) => Some((ExtraAttempt::Retry, cause)),
-            Wanted::Hedge(kind) => Some((kind, HEDGE_CAUSE)),
-        };
+        let extra = wanted.extra();
         // An attempt that reached no target caused no load, so the one that replaces it needs no budget.
         let spent = extra.filter(|_| self.arrived_attempts > 0);
         if let Some((kind, cause)) = spent
@@ -380,17 +361,19 @@
 
     /// Returns the time until which a wanted attempt waits.
     ///
-    /// A late part is hardly worth the room that it takes, and a request that ran nowhere should be refused early.
+    /// A late part is hardly worth the room that it takes, and a request that ran nowhere should be refused early: it
+    /// does not wait once a reply could no longer arrive in time.
     fn wait_limit(&self, wanted: Wanted) -> Instant {
-        let latest = self
-            .query
-            .deadline
-            .checked_sub(ATTEMPT_TIME_MIN)
-            .unwrap_or(self.query.deadline);
+        let before_deadline = |duration: Duration| {
+            let deadline = self.query.deadline;
+            deadline.checked_sub(duration).unwrap_or(deadline)
+        };
+        let latest = before_deadline(ATTEMPT_TIME_MIN);
         let refusal_at =
             self.started_at + self.query.route.latency_goal.mul_f64(REFUSAL_GOAL_FRACTION);
         match wanted {
-            Wanted::First | Wanted::Hedge(_) => latest,
+            Wanted::First => latest.min(before_deadline(self.usual_duration())),
+            Wanted::Hedge(_) => latest,
             Wanted::Retry(_) if self.progress.may_have_run() => {
                 latest.min(self.query.goal_at.max(refusal_at))
             }
@@ -398,6 +381,14 @@
         }
     }
 
+    /// Returns the usual duration of an attempt of the route; zero if it is not known.
+    fn usual_duration(&self) -> Duration {
+        let shared = &self.query.shared;
+        let mean_latency =
+            shared.with_route_latency(&self.query.route.name, |latency| latency.mean());
+        mean_latency.unwrap_or_default()
+    }
+
     /// Returns the rank of this request among those that wait.
     fn rank(&self) -> RetryRank {
         let goal_left = self.query.goal_at.saturating_duration_since(Instant::now());
@@ -415,8 +406,8 @@
         let Some((target, connections_limit)) = self.targets.pick(wanted.is_hedge()) else {
             return false;
         };
-        // A request that is never sent earns no budget.
-        if wanted == Wanted::First {
+        // A request that is never sent earns no budget, and one whose first attempt is repeated earns it once.
+        if wanted == Wanted::First && !std::mem::replace(&mut self.is_recorded, true) {
             self.query.shared.record_service_request(&self.service);
         }
         self.counted_attempts += 1;
