Ask a target that rejected a request again by the goal of the route

Cause: a rejected target was asked again after 50 ms, also on routes with a goal of 40 or 100 ms, whose answers then came late. Change: the delay is a sixth of the goal, from 10 to 50 ms. Tests of waiting attempts pass.

--- a/crates/limpet-gateway/src/query/asked_targets.rs
+++ b/crates/limpet-gateway/src/query/asked_targets.rs
@@ -4,9 +4,13 @@
 
 use limpet_types::deployment::TargetId;
 
-/// Time after which a target that rejected a request may be asked for the same request again; doubled by each further
-/// rejection.
-const ASK_AGAIN_DELAY: Duration = Duration::from_millis(50);
+/// Part of the latency goal after which a target that rejected a request may be asked for the same request again;
+/// doubled by each further rejection. After a fixed 50 ms, answers with a goal of 100 ms or less came late.
+const ASK_AGAIN_GOAL_DIVISOR: u32 = 6;
+/// Shortest time after which a target that rejected a request may be asked for it again.
+const ASK_AGAIN_DELAY_MIN: Duration = Duration::from_millis(10);
+/// Longest time after which a target that rejected a request once may be asked for it again.
+const ASK_AGAIN_DELAY_MAX: Duration = Duration::from_millis(50);
 /// Maximum number of times that this delay is doubled.
 const DOUBLINGS_MAX: u32 = 4;
 
@@ -23,8 +27,10 @@
 }
 
 /// Targets of one service that were asked to run a request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct AskedTargets {
+    /// Time after which a target that rejected the request once may be asked again.
+    ask_again_delay: Duration,
     /// Targets that are not asked again: most may run or may have run the request.
     asked: Vec<TargetId>,
     rejected: Vec<RejectedTarget>,
@@ -34,6 +40,17 @@
 }
 
 impl AskedTargets {
+    /// Creates the state of a request that was not sent yet, of a route with this latency goal.
+    pub(super) fn new(latency_goal: Duration) -> Self {
+        let delay = latency_goal / ASK_AGAIN_GOAL_DIVISOR;
+        Self {
+            ask_again_delay: delay.clamp(ASK_AGAIN_DELAY_MIN, ASK_AGAIN_DELAY_MAX),
+            asked: Vec::new(),
+            rejected: Vec::new(),
+            unconnected: Vec::new(),
+        }
+    }
+
     /// Records that a target is asked.
     pub(super) fn record_attempt(&mut self, id: &TargetId) {
         self.asked.push(id.clone());
@@ -47,12 +64,12 @@
             Some(rejected) => {
                 rejected.rejection_count += 1;
                 let doublings = rejected.rejection_count.min(DOUBLINGS_MAX);
-                rejected.ask_again_at = now + ASK_AGAIN_DELAY * (1 << doublings);
+                rejected.ask_again_at = now + self.ask_again_delay * (1 << doublings);
             }
             None => self.rejected.push(RejectedTarget {
                 id: id.clone(),
                 rejection_count: 0,
-                ask_again_at: now + ASK_AGAIN_DELAY,
+                ask_again_at: now + self.ask_again_delay,
             }),
         }
     }
--- a/crates/limpet-gateway/src/query/service_targets.rs
+++ b/crates/limpet-gateway/src/query/service_targets.rs
@@ -40,9 +40,9 @@
     /// Creates the view of a request that no target was asked to run.
     pub(super) fn new(query: Arc<QueryContext>, service: &str) -> Self {
         Self {
+            asked: AskedTargets::new(query.route.latency_goal),
             query,
             service: service.into(),
-            asked: AskedTargets::default(),
             is_straggler_recorded: false,
         }
     }
