Sum up load reports only before a choice that reads them

Cause: every process summed up all reports by target in each round of 150 ms and wrote the sums into all targets, also one that sends nothing, and in fleets of up to 32 processes, where no choice reads them. The gauges of limpet_target_load_spread were worked out every 2 s, whether or not anybody read them. Change: ReportedLoads makes the sums before a choice of a target in a larger fleet, and when /metrics is read, at most every 150 ms. The gauges are set when the page is read. The locks of the reports and of the fleet are still never held together.

--- a/crates/limpet-gateway/src/admin.rs
+++ b/crates/limpet-gateway/src/admin.rs
@@ -32,7 +32,10 @@
     time::sleep, //
 };
 
-use crate::shared_state::SharedState;
+use crate::{
+    members::record_load_spreads,
+    shared_state::SharedState, //
+};
 
 /// Delay after a failed accept, which keeps the loop from spinning.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -100,7 +103,10 @@
     let (status, body) = match (endpoints, request.uri().path()) {
         (Endpoints::Readiness, _) if shared.is_ready() => (StatusCode::OK, String::new()),
         (Endpoints::Readiness, _) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
-        (Endpoints::Admin(Some(recorder)), "/metrics") => (StatusCode::OK, recorder.render()),
+        (Endpoints::Admin(Some(recorder)), "/metrics") => {
+            record_load_spreads(shared);
+            (StatusCode::OK, recorder.render())
+        }
         (Endpoints::Admin(_), "/status") => (StatusCode::OK, status_page(shared)),
         (Endpoints::Admin(_), _) => (StatusCode::NOT_FOUND, String::new()),
     };
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -233,10 +233,6 @@
         metrics::gauge!("limpet_caller_connections").set(shared.caller_connection_count() as f64);
         metrics::gauge!("limpet_processes")
             .set(shared.rate_limiter().process_counts().total as f64);
-        for (service, spread) in shared.fleet().load_spreads(shared.now()) {
-            metrics::gauge!("limpet_target_load_spread", "service" => service.to_owned())
-                .set(spread);
-        }
         let age = shared.deployment_state().age(now);
         metrics::gauge!("limpet_state_age_seconds").set(age.map_or(-1.0, |age| age.as_secs_f64()));
         if let Some(recorder) = &recorder {
--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -135,7 +135,7 @@
             tokio::select! {
                 _ = ticks.tick() => {
                     self.remove_gone_processes();
-                    self.apply_reported_loads();
+                    self.remove_outdated_loads();
                     self.send_round(false).await;
                     self.send_load_report().await;
                 }
--- a/crates/limpet-gateway/src/members/load_reports.rs
+++ b/crates/limpet-gateway/src/members/load_reports.rs
@@ -119,10 +119,8 @@
         is_recorded.then_some(()).ok_or("outdated")
     }
 
-    /// Forgets the load of processes that no longer report it, and passes the rest to the targets.
-    ///
-    /// A round of the exchange does this, not each choice of a target: the sums over all reports cost too much for that.
-    pub(super) fn apply_reported_loads(&self) {
+    /// Forgets the load of processes that no longer report it.
+    pub(super) fn remove_outdated_loads(&self) {
         let now = self.shared.now();
         let stopped = self.shared.peer_loads().remove_outdated(now);
         for _ in &stopped {
@@ -137,8 +135,6 @@
                 "load reports of processes stopped, their load is no longer considered"
             );
         }
-        let loads = self.shared.peer_loads().target_loads(now);
-        self.shared.fleet().set_reported_loads(&loads, now);
     }
 }
 
--- a/crates/limpet-gateway/src/members/mod.rs
+++ b/crates/limpet-gateway/src/members/mod.rs
@@ -5,9 +5,9 @@
 mod load_reports;
 mod membership;
 mod message;
+mod reported_loads;
 mod routes;
 
-pub(crate) use self::routes::state_readers;
 pub use self::{
     announcement::Announcement,
     gossip::{
@@ -25,4 +25,9 @@
         Report,
         Welcome, //
     },
+    reported_loads::ReportedLoads,
+};
+pub(crate) use self::{
+    reported_loads::record_load_spreads,
+    routes::state_readers, //
 };
--- a/crates/limpet-gateway/src/query/service_targets.rs
+++ b/crates/limpet-gateway/src/query/service_targets.rs
@@ -56,6 +56,10 @@
         let shared = &self.query.shared;
         let now = shared.now();
         let picked = self.with_criteria(needs_free_slot, true, |criteria| {
+            let process_count = criteria.process_count;
+            shared
+                .reported_loads
+                .refresh_for_choice(shared, process_count);
             let mut fleet = shared.fleet();
             match fleet.pick(criteria, now) {
                 Some(target) => Ok((target, criteria.connections_limit())),
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -55,7 +55,8 @@
     header_names::HeaderNames,
     members::{
         Announcement,
-        Membership, //
+        Membership,
+        ReportedLoads, //
     },
     memory::BodyMemory,
     query::AdmissionState,
@@ -132,6 +133,8 @@
     peer_ejection: Mutex<PeerEjection>,
     /// Load that the other processes report.
     peer_loads: Mutex<PeerLoads>,
+    /// Sums of that load, as the choice of a target reads them.
+    pub reported_loads: ReportedLoads,
     /// Load that this process reports.
     load_tracker: Mutex<LoadTracker>,
     /// Rate of the scatter-gather queries that callers send to this process.
@@ -192,6 +195,7 @@
             aggregators_version: AtomicU64::new(0),
             peer_ejection: Mutex::new(PeerEjection::new()),
             peer_loads: Mutex::new(PeerLoads::new()),
+            reported_loads: ReportedLoads::default(),
             load_tracker: Mutex::new(LoadTracker::new()),
             query_rate: Mutex::new(QueryRate::new()),
             idle_timeout_ms: AtomicU64::new(DEFAULT_IDLE_TIMEOUT_MS),
--- /dev/null
+++ b/crates/limpet-gateway/tests/load_work.rs
@@ -0,0 +1,283 @@
+//! Work that the load of other processes causes: it is done only when its result is read.
+
+mod support;
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use limpet_decide::{
+    peer_load::name_hash,
+    spread::DIRECT_PROCESSES_MAX, //
+};
+use limpet_gateway::{
+    SharedState, admin,
+    admin::Endpoints,
+    members::{
+        Gossip,
+        Report, //
+    },
+    rate::AdmissionCounts,
+};
+use limpet_types::{
+    codec,
+    deployment::{
+        Change,
+        Idempotency,
+        StateUpdate,
+        VersionedChange, //
+    },
+    message::{
+        GatherLoad,
+        LOAD_REPORT_MARKER,
+        LoadReport,
+        TargetUse, //
+    },
+};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use support::{
+    Behaviour,
+    Deployment,
+    FakeTarget,
+    PEER_PORT,
+    RunningGateway,
+    config,
+    get,
+    header_names,
+    route,
+    settings,
+    target_record,
+    unused_loopback_ip, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        UdpSocket, //
+    },
+    task::JoinSet,
+    time::sleep, //
+};
+
+const NODE: u64 = 0x1122_3344_5566_7788;
+/// Number of other processes of a fleet in which the choice of a target reads the reports.
+const LARGE_FLEET: u8 = 85;
+/// Number of other processes of a small site.
+const SMALL_FLEET: u8 = 6;
+/// Time in which a process handles the datagrams that were sent to it.
+const HANDLING_TIME: Duration = Duration::from_millis(100);
+/// Time of several rounds of the exchange.
+const SOME_ROUNDS_TIME: Duration = Duration::from_millis(500);
+
+/// Returns the regular report that makes a process known.
+fn regular_report(addr: SocketAddr) -> Vec<u8> {
+    let report = Report {
+        node: NODE,
+        addr,
+        is_leaving: false,
+        admissions: AdmissionCounts {
+            is_complete: true,
+            teams: Vec::new(),
+        },
+        welcome: None,
+        known_addrs: Vec::new(),
+        strikes: Vec::new(),
+    };
+    codec::encode(&report).unwrap()
+}
+
+/// Makes the process at `to` know `peer` and `peer_count - 1` processes that do not exist.
+async fn introduce(peer: &UdpSocket, to: SocketAddr, peer_count: u8) {
+    let peer_addr = peer.local_addr().unwrap();
+    let absent = (1..peer_count).map(|index| SocketAddr::from(([127, 250, 0, index], 9)));
+    for addr in absent.chain([peer_addr]) {
+        peer.send_to(&regular_report(addr), to).await.unwrap();
+    }
+    sleep(HANDLING_TIME).await;
+}
+
+/// Returns the datagram of a load report that names one target.
+fn load_report(addr: SocketAddr, sequence: u32, target: &str, in_flight: u8) -> Vec<u8> {
+    let report = LoadReport {
+        node: NODE,
+        addr,
+        sequence,
+        gathers: GatherLoad::default(),
+        services: Vec::new(),
+        targets: vec![TargetUse {
+            target: name_hash(target),
+            in_flight,
+            requests_per_10_s: 30,
+            rejected_255ths: 0,
+        }],
+    };
+    let encoded = codec::encode(&report).unwrap();
+    [&LOAD_REPORT_MARKER, encoded.as_slice()].concat()
+}
+
+/// The exchange of reports of one process without the rest of it, a target `t`, and a socket of another process.
+struct Exchange {
+    shared: Arc<SharedState>,
+    peer: UdpSocket,
+    _tasks: JoinSet<()>,
+}
+
+impl Exchange {
+    /// Starts the exchange in a fleet with `peer_count` other processes.
+    async fn start(peer_count: u8) -> Self {
+        let settings = settings(&unused_loopback_ip(), PEER_PORT).await;
+        let shared = Arc::new(SharedState::new(settings, header_names()));
+        let record = target_record("s", SocketAddr::from(([127, 0, 0, 1], 1)));
+        let update = StateUpdate {
+            is_full_state: false,
+            revision: 1,
+            changes: vec![VersionedChange {
+                revision: 1,
+                change: Change::Target("t".into(), Arc::new(record)),
+            }],
+            age: Duration::ZERO,
+        };
+        let now = shared.now();
+        shared.deployment_state().apply(&update, now, now);
+        shared.sync_fleet();
+        let gossip = Arc::new(Gossip::bind(Arc::clone(&shared)).await.unwrap());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(gossip.run());
+        let peer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        introduce(&peer, shared.settings.peer_addr, peer_count).await;
+        Self {
+            shared,
+            peer,
+            _tasks: tasks,
+        }
+    }
+
+    /// Sends a load report that states this many requests in flight at `t`, and waits until it is handled.
+    async fn report_in_flight(&self, sequence: u32, in_flight: u8) {
+        let report = load_report(self.peer.local_addr().unwrap(), sequence, "t", in_flight);
+        let to = self.shared.settings.peer_addr;
+        self.peer.send_to(&report, to).await.unwrap();
+        sleep(HANDLING_TIME).await;
+    }
+
+    /// Brings the sums up to date as before a choice in this fleet.
+    fn refresh(&self) {
+        let process_count = self.shared.rate_limiter().process_counts().total;
+        let shared = &self.shared;
+        shared
+            .reported_loads
+            .refresh_for_choice(shared, process_count);
+    }
+
+    /// Returns the requests in flight to `t` that a choice would read.
+    fn in_flight(&self) -> f64 {
+        let target = self.shared.fleet().get("t").unwrap();
+        target.load().reported_in_flight(self.shared.now())
+    }
+}
+
+/// Guards against sums over all reports and targets in each round of a process that sends nothing.
+#[tokio::test]
+async fn process_that_chooses_no_target_makes_no_sums() {
+    let exchange = Exchange::start(LARGE_FLEET).await;
+    exchange.report_in_flight(1, 3).await;
+    sleep(SOME_ROUNDS_TIME).await;
+    assert_eq!(exchange.shared.peer_loads().len(), 1, "report not applied");
+    assert_eq!(exchange.in_flight(), 0.0, "sums without a reader");
+    exchange.refresh();
+    assert!(exchange.in_flight() > 1.0, "a choice reads no reports");
+}
+
+/// Guards against sums in a fleet whose processes decide on what they observe themselves.
+#[tokio::test]
+async fn small_fleet_makes_no_sums() {
+    let exchange = Exchange::start(SMALL_FLEET).await;
+    exchange.report_in_flight(1, 3).await;
+    sleep(SOME_ROUNDS_TIME).await;
+    exchange.refresh();
+    assert_eq!(exchange.in_flight(), 0.0, "sums without a reader");
+}
+
+/// Guards against sums for each choice, and against a choice by sums that are older than a round.
+#[tokio::test]
+async fn sums_are_used_for_at_most_150_ms() {
+    let exchange = Exchange::start(LARGE_FLEET).await;
+    exchange.report_in_flight(1, 4).await;
+    let process_count = DIRECT_PROCESSES_MAX + 1;
+    let shared = &exchange.shared;
+    let peer_addr = exchange.peer.local_addr().unwrap();
+    let summed_at = shared.now();
+    shared
+        .reported_loads
+        .refresh_for_choice(shared, process_count);
+    let before = exchange.in_flight();
+    assert!(before > 2.0, "{before}");
+    // Without the exchange in between, so that no time passes on a busy machine.
+    shared.peer_loads().remove(peer_addr);
+    shared
+        .reported_loads
+        .refresh_for_choice(shared, process_count);
+    let is_recent = shared.now() < summed_at + Duration::from_millis(150);
+    assert!(exchange.in_flight() > 0.0 || !is_recent, "summed twice");
+    sleep(Duration::from_millis(150)).await;
+    exchange.refresh();
+    assert_eq!(exchange.in_flight(), 0.0, "old sums");
+}
+
+/// Guards against a choice in a large fleet that reads sums which nobody makes.
+#[tokio::test]
+async fn gateway_in_a_large_fleet_avoids_the_target_that_others_load() {
+    let reply = || Behaviour::Answer(200, b"good", Duration::ZERO);
+    let (loaded, idle) = (
+        FakeTarget::always(reply()).await,
+        FakeTarget::always(reply()).await,
+    );
+    let deployment = Deployment::new();
+    let routes = vec![route("/one/", Idempotency::Idempotent, "s")];
+    deployment.publish_config(config(1, routes, &["s"]));
+    deployment.publish_target("loaded", target_record("s", loaded.addr));
+    deployment.publish_target("idle", target_record("s", idle.addr));
+    let gateway = RunningGateway::start(&deployment).await;
+    let peer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    introduce(&peer, gateway.peer_addr, LARGE_FLEET).await;
+    // Two processes, because the figures of a single one are bounded.
+    let peer_addr = peer.local_addr().unwrap();
+    for addr in [peer_addr, SocketAddr::from(([127, 250, 0, 1], 9))] {
+        let report = load_report(addr, 1, "loaded", 4);
+        peer.send_to(&report, gateway.peer_addr).await.unwrap();
+    }
+    sleep(HANDLING_TIME).await;
+    for _ in 0..20 {
+        assert_eq!(get(gateway.caller_addr, "/one/a").await.status, 200);
+    }
+    let (loaded, idle) = (
+        loaded.received_requests().len(),
+        idle.received_requests().len(),
+    );
+    assert!(idle > loaded * 2, "{loaded} and {idle} requests");
+}
+
+/// Guards against metrics that show the distribution of load of an earlier time, or none.
+#[tokio::test]
+async fn metrics_page_shows_the_reported_load() {
+    let exchange = Exchange::start(LARGE_FLEET).await;
+    exchange.report_in_flight(1, 3).await;
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let endpoints = Endpoints::Admin(Some(recorder.handle()));
+    let _guard = metrics::set_default_local_recorder(&recorder);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let mut tasks = JoinSet::new();
+    tasks.spawn(admin::serve(
+        listener,
+        Arc::clone(&exchange.shared),
+        endpoints,
+    ));
+    let page = get(addr, "/metrics").await;
+    let page = String::from_utf8(page.body.to_vec()).unwrap();
+    assert!(
+        page.contains("limpet_target_load_spread{service=\"s\"} 1"),
+        "{page}"
+    );
+}
