Leave targets out of load reports that nobody reads

Cause: in a fleet of up to 32 processes every process chooses targets by its own observations, but each request caused a report, as often as allowed, with up to 32 targets. Change: there the section on targets is omitted, and a request or a rejection alone does not cause a report. Gathers cause one as before, and rates are refreshed after 1.2 s. A process includes the section in its first 3 s, because it may not have heard of all others. Requests to targets are still counted, so that a fleet that grows has the figures at once.

--- a/crates/limpet-decide/src/peer_load/load_tracker.rs
+++ b/crates/limpet-decide/src/peer_load/load_tracker.rs
@@ -68,8 +68,12 @@
     report_period: Duration,
     /// Time that has not been used for reports; a report uses a period.
     saved_time: Duration,
-    /// Whether a request was sent or rejected, or the gathers changed, since the latest report.
-    has_changed: bool,
+    /// Whether the other processes read the load of targets.
+    reports_targets: bool,
+    /// Whether a request was sent or rejected since the latest report.
+    has_target_change: bool,
+    /// Whether the gathers changed since the latest report.
+    has_gather_change: bool,
     /// Whether the latest report said anything; one more is sent after it so that the load ends with the peers too.
     was_loaded: bool,
 }
@@ -85,7 +89,9 @@
             reported_at: None,
             report_period: LOAD_REPORT_PERIOD,
             saved_time: Duration::ZERO,
-            has_changed: false,
+            reports_targets: true,
+            has_target_change: false,
+            has_gather_change: false,
             was_loaded: false,
         }
     }
@@ -99,7 +105,7 @@
 
     /// Sets the scatter-gather queries of this process.
     pub fn set_gathers(&mut self, gathers: GatherLoad) {
-        self.has_changed |= self.gathers != gathers;
+        self.has_gather_change |= self.gathers != gathers;
         self.gathers = gathers;
     }
 
@@ -114,6 +120,12 @@
         self.report_period = period.max(LOAD_REPORT_PERIOD);
     }
 
+    /// Sets whether the other processes read the load of targets. If not, reports omit it, and a request that is sent
+    /// or rejected is no reason for a report.
+    pub const fn set_reports_targets(&mut self, reports_targets: bool) {
+        self.reports_targets = reports_targets;
+    }
+
     /// Records a request for a service.
     pub fn record_request(&mut self, service: NameHash, now: Duration) {
         self.requests.entry(service).or_default().record(1.0, now);
@@ -122,7 +134,7 @@
     /// Records a request that is sent to a target; [`LoadTracker::record_end`] must follow.
     pub fn record_send(&mut self, target: NameHash, now: Duration) {
         let rates = self.targets.entry(target).or_default();
-        self.has_changed = true;
+        self.has_target_change = true;
         rates.in_flight += 1;
         rates.sent.record(1.0, now);
         rates.sent_lately.record(1.0, now);
@@ -139,7 +151,7 @@
     pub fn record_rejection(&mut self, target: NameHash, now: Duration) {
         let rates = self.targets.entry(target).or_default();
         rates.rejected.record(1.0, now);
-        self.has_changed = true;
+        self.has_target_change = true;
     }
 
     /// Returns the rate of requests for a service that the latest report stated, in requests per second.
@@ -147,6 +159,14 @@
         self.reported_rates.get(&service).copied()
     }
 
+    /// Returns whether a report would keep the time between two reports.
+    pub fn may_report(&self, now: Duration) -> bool {
+        self.reported_at.is_none_or(|reported_at| {
+            let age = now.saturating_sub(reported_at);
+            age >= LOAD_REPORT_PERIOD && self.time_saved(now) >= self.report_period
+        })
+    }
+
     /// Builds the next report; returns `None` if none is due or there is nothing to say.
     pub fn next_report(
         &mut self,
@@ -158,7 +178,12 @@
             return None;
         }
         let services = self.used_services(now);
-        let targets = self.used_targets(now);
+        // Also forgets unused targets, so it is called in any case.
+        let used_targets = self.used_targets(now);
+        let targets = match self.reports_targets {
+            true => used_targets,
+            false => Vec::new(),
+        };
         self.reported_rates = services
             .iter()
             .map(|entry| (entry.service, f64::from(entry.requests_per_10_s) / 10.0))
@@ -174,7 +199,8 @@
         }
         self.saved_time = self.time_saved(now).saturating_sub(self.report_period);
         self.reported_at = Some(now);
-        self.has_changed = false;
+        self.has_target_change = false;
+        self.has_gather_change = false;
         self.sequence = self.sequence.wrapping_add(1);
         Some(LoadReport {
             node,
@@ -191,12 +217,11 @@
     /// A process that sends a request every few seconds reports it at once, within the bytes of regular reports: the
     /// others even out the load the better the sooner they hear of it.
     fn is_due(&self, now: Duration) -> bool {
-        let Some(reported_at) = self.reported_at else {
-            return true;
-        };
-        let age = now.saturating_sub(reported_at);
-        let may_report = age >= LOAD_REPORT_PERIOD && self.time_saved(now) >= self.report_period;
-        may_report && (self.has_changed || age >= REFRESH_AFTER)
+        let has_change = self.has_gather_change || (self.reports_targets && self.has_target_change);
+        let is_refresh_due = self
+            .reported_at
+            .is_none_or(|reported_at| now.saturating_sub(reported_at) >= REFRESH_AFTER);
+        self.may_report(now) && (has_change || is_refresh_due)
     }
 
     /// Returns the time that has not been used for reports.
--- a/crates/limpet-gateway/src/members/load_reports.rs
+++ b/crates/limpet-gateway/src/members/load_reports.rs
@@ -8,10 +8,13 @@
     time::Duration, //
 };
 
-use limpet_decide::peer_load::{
-    LOAD_REPORT_PERIOD,
-    SERVICES_MAX,
-    TARGETS_MAX, //
+use limpet_decide::{
+    peer_load::{
+        LOAD_REPORT_PERIOD,
+        SERVICES_MAX,
+        TARGETS_MAX, //
+    },
+    spread::DIRECT_PROCESSES_MAX,
 };
 use limpet_types::{
     codec,
@@ -31,6 +34,10 @@
 /// Shortest time between two log lines about processes whose load reports stopped.
 const STOPPED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time after the start in which a process may not have heard of all others, so that it reports the load of targets even
+/// if the fleet seems to be so small that nobody reads it.
+const START_TIME: Duration = Duration::from_secs(3);
+
 /// Why a received load report is not used, as the label of a metric.
 type Rejection = &'static str;
 
@@ -67,9 +74,12 @@
         let period = LOAD_REPORT_PERIOD.max(report_interval.saturating_sub(REPORT_PERIOD / 2));
         shared.peer_loads().set_report_interval(report_interval);
         let (addr, now) = (shared.settings.peer_addr, shared.now());
+        let process_count = shared.rate_limiter().process_counts().total;
+        let reports_targets = process_count > DIRECT_PROCESSES_MAX || now < START_TIME;
         let report = {
             let mut load_tracker = shared.load_tracker();
             load_tracker.set_report_period(period);
+            load_tracker.set_reports_targets(reports_targets);
             load_tracker.next_report(self.node, addr, now)
         };
         let Some(report) = report else {
--- a/crates/limpet-gateway/tests/load_work.rs
+++ b/crates/limpet-gateway/tests/load_work.rs
@@ -57,7 +57,10 @@
         UdpSocket, //
     },
     task::JoinSet,
-    time::sleep, //
+    time::{
+        Instant,
+        sleep, //
+    },
 };
 
 const NODE: u64 = 0x1122_3344_5566_7788;
@@ -281,3 +284,35 @@
         "{page}"
     );
 }
+
+/// Guards against reports about targets, and reports for each request, in a fleet where no process reads them.
+#[tokio::test]
+async fn small_fleet_hears_nothing_of_targets() {
+    let target = FakeTarget::always(Behaviour::Answer(200, b"good", Duration::ZERO)).await;
+    let deployment = Deployment::new();
+    let routes = vec![route("/one/", Idempotency::Idempotent, "s")];
+    deployment.publish_config(config(1, routes, &["s"]));
+    deployment.publish_target("t", target_record("s", target.addr));
+    let gateway = RunningGateway::start(&deployment).await;
+    let peer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    // In its first 3 s, a process may not have heard of all others yet.
+    sleep(Duration::from_millis(3200)).await;
+    introduce(&peer, gateway.peer_addr, SMALL_FLEET).await;
+    let mut buffer = vec![0; 16 << 10];
+    let mut reports: Vec<LoadReport> = Vec::new();
+    let end = Instant::now() + Duration::from_millis(2600);
+    while Instant::now() < end {
+        assert_eq!(get(gateway.caller_addr, "/one/a").await.status, 200);
+        sleep(Duration::from_millis(20)).await;
+        while let Ok(size) = peer.try_recv(&mut buffer) {
+            let encoded = buffer[..size].strip_prefix(&LOAD_REPORT_MARKER);
+            reports.extend(encoded.map(|bytes| codec::decode::<LoadReport>(bytes).unwrap()));
+        }
+    }
+    assert!(reports.iter().all(|report| report.targets.is_empty()));
+    assert!(
+        reports.iter().any(|report| !report.services.is_empty()),
+        "rates not reported"
+    );
+    assert!(reports.len() <= 3, "{} reports without news", reports.len());
+}
