Count load reports of other releases instead of warning

Cause: a process takes a load report whose marker it does not know for an announcement and logs a warning that it cannot be decoded, one for each datagram while a fleet is upgraded. Change: datagrams that begin with 0xff and a second byte of 0xf0 or higher, other than the known marker, are counted as limpet_load_reports_total{result="unknown_version"} and ignored, with a debug line. Other bytes are handled as before.

--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -31,7 +31,11 @@
 
 use super::{
     Announcement, NodeId, REPORT_PERIOD, Report, Welcome,
-    load_reports::StoppedReports,
+    load_reports::{
+        StoppedReports,
+        ignore_unknown_version,
+        is_unknown_version, //
+    },
     routes::{
         own_report_routes,
         zone_addrs, //
@@ -369,6 +373,10 @@
             self.handle_load_report(bytes, from);
             return None;
         }
+        if is_unknown_version(bytes) {
+            ignore_unknown_version(from);
+            return None;
+        }
         if Announcement::is_announcement(bytes) {
             self.handle_announcement(bytes, from);
             return None;
--- a/crates/limpet-gateway/src/members/load_reports.rs
+++ b/crates/limpet-gateway/src/members/load_reports.rs
@@ -31,6 +31,8 @@
 
 /// Largest datagram of a load report; one with full lists has about 900 bytes.
 const DATAGRAM_MAX_BYTES: usize = 1200;
+/// Smallest second byte of a load report of any release; the first one is 0xff.
+const VERSION_MARKER_MIN: u8 = 0xf0;
 /// Shortest time between two log lines about processes whose load reports stopped.
 const STOPPED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -148,6 +150,19 @@
     }
 }
 
+/// Returns whether a datagram that is no load report of this release is one of another release. No announcement begins
+/// with these bytes: its second byte is the variant of its address, 0 or 1.
+pub(super) fn is_unknown_version(datagram: &[u8]) -> bool {
+    matches!(datagram, [0xff, second, ..] if *second >= VERSION_MARKER_MIN)
+}
+
+/// Counts a load report of another release. There is one in each round while a fleet is upgraded, so none is logged as a
+/// warning.
+pub(super) fn ignore_unknown_version(from: SocketAddr) {
+    tracing::debug!(%from, "load report of another release ignored");
+    count("received", "unknown_version");
+}
+
 /// Counts a load report.
 fn count(direction: &'static str, result: &'static str) {
     metrics::counter!("limpet_load_reports_total", "direction" => direction, "result" => result)
--- a/crates/limpet-gateway/tests/load_work.rs
+++ b/crates/limpet-gateway/tests/load_work.rs
@@ -3,8 +3,12 @@
 mod support;
 
 use std::{
+    io::Write,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex, //
+    },
     time::Duration, //
 };
 
@@ -261,6 +265,54 @@
     assert!(idle > loaded * 2, "{loaded} and {idle} requests");
 }
 
+/// Collects log lines in memory.
+#[derive(Clone, Default)]
+struct LogLines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for LogLines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().write(bytes)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a warning for each load report of a later release, and against other datagrams that pass for one.
+async fn datagram_with_second_byte((second_byte, is_version): (u8, bool)) {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let _recorder_guard = metrics::set_default_local_recorder(&recorder);
+    let lines = LogLines::default();
+    let writer = lines.clone();
+    let subscriber = tracing_subscriber::fmt()
+        .with_max_level(tracing::Level::WARN)
+        .with_writer(move || writer.clone())
+        .finish();
+    let _log_guard = tracing::subscriber::set_default(subscriber);
+    let exchange = Exchange::start(SMALL_FLEET).await;
+    let to = exchange.shared.settings.peer_addr;
+    let datagram = [&[0xff, second_byte], [7; 60].as_slice()].concat();
+    exchange.peer.send_to(&datagram, to).await.unwrap();
+    sleep(HANDLING_TIME).await;
+    let page = recorder.handle().render();
+    let counted = "{direction=\"received\",result=\"unknown_version\"} 1";
+    assert_eq!(page.contains(counted), is_version, "{page}");
+    let text = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
+    assert_eq!(text.contains("cannot be decoded"), !is_version, "{text}");
+    // The exchange goes on.
+    exchange.report_in_flight(1, 3).await;
+    assert_eq!(exchange.shared.peer_loads().len(), 1);
+}
+
+limpet_testkit::async_cases! {
+    datagram_with_second_byte:
+    last_other_byte => (0xef, false),
+    first_version => (0xf0, true),
+    later_version => (0xfb, true),
+    last_version => (0xff, true),
+}
+
 /// Guards against metrics that show the distribution of load of an earlier time, or none.
 #[tokio::test]
 async fn metrics_page_shows_the_reported_load() {
