Read gauges and gathers when they are shown or reported

Cause: every start and end of a query set three gauges, worked out an expected wait for them, and copied the gathers of all groups into the LoadTracker. Change: the gauges of the groups are set when /metrics is read, which nothing else does, so their former values need not be compared. AdmissionState::gather_load sums up the gathers when a report may be sent and for the choice of an aggregator. AdmissionState::leave no longer needs the shared state.

--- a/crates/limpet-decide/src/peer_load/load_tracker.rs
+++ b/crates/limpet-decide/src/peer_load/load_tracker.rs
@@ -109,11 +109,6 @@
         self.gathers = gathers;
     }
 
-    /// Returns the scatter-gather queries of this process.
-    pub const fn gathers(&self) -> GatherLoad {
-        self.gathers
-    }
-
     /// Sets the time between two reports of a process whose load changes all the time; it is at least
     /// [`LOAD_REPORT_PERIOD`]. A process with few changes reports them sooner, and otherwise less often.
     pub fn set_report_period(&mut self, period: Duration) {
--- a/crates/limpet-gateway/src/admin.rs
+++ b/crates/limpet-gateway/src/admin.rs
@@ -104,7 +104,9 @@
         (Endpoints::Readiness, _) if shared.is_ready() => (StatusCode::OK, String::new()),
         (Endpoints::Readiness, _) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         (Endpoints::Admin(Some(recorder)), "/metrics") => {
+            // These are worked out for each reading instead of at each change.
             record_load_spreads(shared);
+            shared.admission().set_gauges(shared.now());
             (StatusCode::OK, recorder.render())
         }
         (Endpoints::Admin(_), "/status") => (StatusCode::OK, status_page(shared)),
--- a/crates/limpet-gateway/src/members/load_reports.rs
+++ b/crates/limpet-gateway/src/members/load_reports.rs
@@ -78,10 +78,18 @@
         let (addr, now) = (shared.settings.peer_addr, shared.now());
         let process_count = shared.rate_limiter().process_counts().total;
         let reports_targets = process_count > DIRECT_PROCESSES_MAX || now < START_TIME;
-        let report = {
+        {
             let mut load_tracker = shared.load_tracker();
             load_tracker.set_report_period(period);
             load_tracker.set_reports_targets(reports_targets);
+            if !load_tracker.may_report(now) {
+                return;
+            }
+        }
+        let gathers = shared.admission().gather_load(now);
+        let report = {
+            let mut load_tracker = shared.load_tracker();
+            load_tracker.set_gathers(gathers);
             load_tracker.next_report(self.node, addr, now)
         };
         let Some(report) = report else {
--- a/crates/limpet-gateway/src/query/admission.rs
+++ b/crates/limpet-gateway/src/query/admission.rs
@@ -197,7 +197,7 @@
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
         let admission = self.shared.admission();
-        admission.leave(self.shared, self.key, self.id);
+        admission.leave(self.key, self.id);
     }
 }
 
--- a/crates/limpet-gateway/src/query/admission_state.rs
+++ b/crates/limpet-gateway/src/query/admission_state.rs
@@ -178,7 +178,12 @@
         if !groups.contains_key(&key) {
             groups.retain(|_, group| {
                 let is_idle = group.queue.running_count() == 0 && group.queue.waiting_count() == 0;
-                !is_idle || now.saturating_sub(group.used_at) < UNUSED_TIME
+                let is_kept = !is_idle || now.saturating_sub(group.used_at) < UNUSED_TIME;
+                if !is_kept {
+                    // Nothing sets the gauges of a group that is gone.
+                    group.set_gauges(now);
+                }
+                is_kept
             });
             groups.insert(key, Group::new(shared, group_name()));
         }
@@ -190,7 +195,6 @@
             group.senders.insert(id, sender);
         }
         let deliveries = group.take_deliveries(refused_count, now);
-        publish(shared, &groups, key, now);
         drop(groups);
         deliver(shared, key, deliveries);
         decision
@@ -209,17 +213,37 @@
     }
 
     /// Removes a query that may still wait.
-    pub(super) fn leave(&self, shared: &Arc<SharedState>, key: GroupKey, id: u64) {
-        let mut groups = self.lock();
-        let is_removed = groups.get_mut(&key).is_some_and(|group| {
-            let is_removed = group.senders.remove(&id).is_some();
-            if is_removed {
-                group.queue.leave(id);
-            }
-            is_removed
-        });
-        if is_removed {
-            publish(shared, &groups, key, shared.now());
+    pub(super) fn leave(&self, key: GroupKey, id: u64) {
+        if let Some(group) = self.lock().get_mut(&key)
+            && group.senders.remove(&id).is_some()
+        {
+            group.queue.leave(id);
+        }
+    }
+
+    /// Returns the scatter-gather queries of all groups.
+    pub(crate) fn gather_load(&self, now: Duration) -> GatherLoad {
+        let groups = self.lock();
+        let gathers = groups
+            .iter()
+            .filter(|(key, _)| matches!(key, GroupKey::Gather(_)));
+        let mut load = GatherLoad::default();
+        for (_, group) in gathers {
+            let queue = &group.queue;
+            let add = |sum: u16, number: usize| sum.saturating_add(saturate(number as u128));
+            load.running = add(load.running, queue.running_count());
+            load.waiting = add(load.waiting, queue.waiting_count());
+            load.limit = add(load.limit, queue.limit().permit_count());
+            let expected_wait_ms = saturate(queue.expected_wait(0, now).as_millis());
+            load.expected_wait_ms = load.expected_wait_ms.max(expected_wait_ms);
+        }
+        load
+    }
+
+    /// Sets the gauges of all groups.
+    pub(crate) fn set_gauges(&self, now: Duration) {
+        for group in self.lock().values() {
+            group.set_gauges(now);
         }
     }
 
@@ -251,7 +275,6 @@
         let group = groups.get_mut(&key)?;
         let result = apply(&mut group.queue, now);
         let deliveries = group.take_deliveries(0, now);
-        publish(shared, &groups, key, now);
         drop(groups);
         deliver(shared, key, deliveries);
         Some(result)
@@ -285,6 +308,15 @@
         }
     }
 
+    /// Sets the gauges.
+    fn set_gauges(&self, now: Duration) {
+        let queue = &self.queue;
+        let expected_wait = queue.expected_wait(0, now);
+        self.waiting_gauge.set(queue.waiting_count() as f64);
+        self.limit_gauge.set(queue.limit().permit_count() as f64);
+        self.expected_wait_gauge.set(expected_wait.as_secs_f64());
+    }
+
     /// Takes the verdicts with the senders of the queries, and logs if the group begins or stops refusing.
     fn take_deliveries(
         &mut self,
@@ -369,39 +401,6 @@
     }
 }
 
-/// Updates the metrics of a group, and the scatter-gather queries in the load report.
-fn publish(shared: &SharedState, groups: &HashMap<GroupKey, Group>, key: GroupKey, now: Duration) {
-    if let Some(group) = groups.get(&key) {
-        let queue = &group.queue;
-        let expected_wait = queue.expected_wait(0, now);
-        group.waiting_gauge.set(queue.waiting_count() as f64);
-        group.limit_gauge.set(queue.limit().permit_count() as f64);
-        group.expected_wait_gauge.set(expected_wait.as_secs_f64());
-    }
-    if !matches!(key, GroupKey::Gather(_)) {
-        return;
-    }
-    let mut load = GatherLoad::default();
-    let gathers = groups
-        .iter()
-        .filter(|(key, _)| matches!(key, GroupKey::Gather(_)));
-    for (_, group) in gathers {
-        let queue = &group.queue;
-        let expected_wait_ms = queue.expected_wait(0, now).as_millis();
-        load.running = load
-            .running
-            .saturating_add(saturate(queue.running_count() as u128));
-        load.waiting = load
-            .waiting
-            .saturating_add(saturate(queue.waiting_count() as u128));
-        load.limit = load
-            .limit
-            .saturating_add(saturate(queue.limit().permit_count() as u128));
-        load.expected_wait_ms = load.expected_wait_ms.max(saturate(expected_wait_ms));
-    }
-    shared.load_tracker().set_gathers(load);
-}
-
 /// Converts a number for a load report.
 fn saturate(number: u128) -> u16 {
     u16::try_from(number).unwrap_or(u16::MAX)
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -145,7 +145,7 @@
     let now = shared.now();
     let live_addrs = shared.membership().live_addrs(now);
     shared.remove_gone_aggregators();
-    let own_gathers = shared.load_tracker().gathers();
+    let own_gathers = shared.admission().gather_load(now);
     let urgency = urgency(query);
     let peer_ejection = shared.peer_ejection();
     let peer_loads = shared.peer_loads();
