Keep the sums of the reported rates of services

Cause: PeerLoads::service_share went through all reports for each service, remove_outdated went twice through them in each round of 150 ms, and record built a hash set for each datagram. Change: the rates are summed up by service as reports arrive and go. While a stored report may be too old, until the next round removes it, the parts are worked out from the reports, so they are what they were. remove_outdated looks at the reports only when the oldest one can be too old. Repeated targets are found without a set; repeated services are removed too, as only the first one counted. PeerLoads counts the reports that it visits, for tests.

--- a/crates/limpet-decide/src/peer_load/mod.rs
+++ b/crates/limpet-decide/src/peer_load/mod.rs
@@ -7,6 +7,7 @@
 mod decayed_rate;
 mod load_tracker;
 mod peer_loads;
+mod service_sums;
 mod target_sums;
 
 use std::time::Duration;
--- a/crates/limpet-decide/src/peer_load/peer_loads.rs
+++ b/crates/limpet-decide/src/peer_load/peer_loads.rs
@@ -1,10 +1,8 @@
 //! Load reports of the other processes.
 
 use std::{
-    collections::{
-        HashMap,
-        HashSet, //
-    },
+    cell::Cell,
+    collections::HashMap,
     net::SocketAddr,
     time::Duration, //
 };
@@ -17,6 +15,7 @@
 
 use super::{
     TARGET_REQUESTS_TIME,
+    service_sums::ServiceSums,
     target_sums::TargetSums, //
 };
 
@@ -62,14 +61,22 @@
 #[derive(Debug)]
 pub struct PeerLoads {
     by_addr: HashMap<SocketAddr, PeerLoad>,
+    /// Sums of the rates of services over all stored reports.
+    service_sums: ServiceSums,
+    /// Time at or before which the oldest stored report was received.
+    oldest_received_at: Duration,
     forget_after: Duration,
+    visited_count: Cell<u64>,
 }
 
 impl Default for PeerLoads {
     fn default() -> Self {
         Self {
             by_addr: HashMap::new(),
+            service_sums: ServiceSums::default(),
+            oldest_received_at: Duration::ZERO,
             forget_after: FORGET_AFTER,
+            visited_count: Cell::new(0),
         }
     }
 }
@@ -88,43 +95,67 @@
     /// Stores a report; returns false if a later one of the same sender is known.
     ///
     /// Of several entries for one target, only the first counts: the sums take each for that of another process, so
-    /// that a single false report would confirm itself.
+    /// that a single false report would confirm itself. The same holds for services.
     pub fn record(&mut self, mut report: LoadReport, now: Duration) -> bool {
-        let mut known_targets = HashSet::new();
-        report
-            .targets
-            .retain(|entry| known_targets.insert(entry.target));
         let is_outdated = self.by_addr.get(&report.addr).is_some_and(|known| {
             let is_later = report.sequence.wrapping_sub(known.report.sequence) as i32 > 0;
             known.report.node == report.node && !is_later
         });
-        if !is_outdated {
-            let peer_load = PeerLoad {
-                report,
-                received_at: now,
-            };
-            self.by_addr.insert(peer_load.report.addr, peer_load);
+        if is_outdated {
+            return false;
         }
-        !is_outdated
+        remove_repeated(&mut report.targets, |entry| entry.target);
+        remove_repeated(&mut report.services, |entry| entry.service);
+        self.oldest_received_at = match self.by_addr.is_empty() {
+            true => now,
+            false => self.oldest_received_at.min(now),
+        };
+        self.service_sums.add(&report.services);
+        let peer_load = PeerLoad {
+            report,
+            received_at: now,
+        };
+        let former = self.by_addr.insert(peer_load.report.addr, peer_load);
+        if let Some(former) = former {
+            self.service_sums.remove(&former.report.services);
+        }
+        true
     }
 
     /// Forgets the reports that are too old; returns the processes whose reports stopped while they had load.
     pub fn remove_outdated(&mut self, now: Duration) -> Vec<SocketAddr> {
-        let forget_after = self.forget_after;
-        let is_outdated = |peer_load: &PeerLoad| peer_load.age(now) >= forget_after;
-        let removed: Vec<SocketAddr> = self
-            .by_addr
-            .iter()
-            .filter(|(_, peer_load)| is_outdated(peer_load) && peer_load.is_loaded())
-            .map(|(addr, _)| *addr)
-            .collect();
-        self.by_addr.retain(|_, peer_load| !is_outdated(peer_load));
+        if !self.may_have_outdated(now) {
+            return Vec::new();
+        }
+        let mut removed = Vec::new();
+        let mut oldest_received_at = Duration::MAX;
+        self.by_addr.retain(|addr, peer_load| {
+            self.visited_count.update(|count| count + 1);
+            let is_kept = peer_load.age(now) < self.forget_after;
+            if is_kept {
+                oldest_received_at = oldest_received_at.min(peer_load.received_at);
+            } else {
+                self.service_sums.remove(&peer_load.report.services);
+                if peer_load.is_loaded() {
+                    removed.push(*addr);
+                }
+            }
+            is_kept
+        });
+        self.oldest_received_at = oldest_received_at;
         removed
     }
 
     /// Forgets the report of a process that left.
     pub fn remove(&mut self, addr: SocketAddr) {
-        self.by_addr.remove(&addr);
+        if let Some(removed) = self.by_addr.remove(&addr) {
+            self.service_sums.remove(&removed.report.services);
+        }
+    }
+
+    /// Returns how often a report was visited, by which tests count the work.
+    pub const fn visited_count(&self) -> u64 {
+        self.visited_count.get()
     }
 
     /// Returns the number of processes whose load is known.
@@ -158,15 +189,35 @@
         own_reported_per_s: f64,
         now: Duration,
     ) -> Option<f64> {
-        let mut total_per_s = own_reported_per_s;
-        let mut has_fresh = false;
+        let (has_fresh, others_per_10_s) = match self.may_have_outdated(now) {
+            true => self.fresh_per_10_s(service, now),
+            false => (
+                !self.by_addr.is_empty(),
+                self.service_sums.per_10_s(service),
+            ),
+        };
+        let total_per_s = own_reported_per_s + others_per_10_s as f64 / 10.0;
+        (has_fresh && total_per_s > 0.0).then(|| own_reported_per_s / total_per_s)
+    }
+
+    /// Returns whether there is a report that is not too old, and the sum of the rates of a service in such reports, in
+    /// requests per ten seconds.
+    fn fresh_per_10_s(&self, service: NameHash, now: Duration) -> (bool, u64) {
+        let (mut has_fresh, mut sum) = (false, 0);
         for peer_load in self.fresh(now) {
             has_fresh = true;
             let services = &peer_load.report.services;
             let entry = services.iter().find(|entry| entry.service == service);
-            total_per_s += entry.map_or(0.0, |entry| f64::from(entry.requests_per_10_s) / 10.0);
+            sum += entry.map_or(0, |entry| u64::from(entry.requests_per_10_s));
         }
-        (has_fresh && total_per_s > 0.0).then(|| own_reported_per_s / total_per_s)
+        (has_fresh, sum)
+    }
+
+    /// Returns whether a stored report may be too old. False is certain; true holds for a short time, until
+    /// [`PeerLoads::remove_outdated`] is called.
+    fn may_have_outdated(&self, now: Duration) -> bool {
+        let age = now.saturating_sub(self.oldest_received_at);
+        !self.by_addr.is_empty() && age >= self.forget_after
     }
 
     /// Returns the load of all targets that others reported, by the hash of their ids.
@@ -189,6 +240,7 @@
     fn fresh(&self, now: Duration) -> impl Iterator<Item = &PeerLoad> {
         self.by_addr
             .values()
+            .inspect(|_| self.visited_count.update(|count| count + 1))
             .filter(move |peer_load| peer_load.age(now) < self.forget_after)
     }
 }
@@ -208,3 +260,17 @@
             || !report.targets.is_empty()
     }
 }
+
+/// Removes the entries whose name an earlier entry has. The lists of a report are so short that no set is needed.
+fn remove_repeated<T>(entries: &mut Vec<T>, name: impl Fn(&T) -> NameHash) {
+    let mut kept_count = 0;
+    for index in 0..entries.len() {
+        let (kept, rest) = entries.split_at(kept_count);
+        let current = name(&rest[index - kept_count]);
+        if kept.iter().all(|known| name(known) != current) {
+            entries.swap(kept_count, index);
+            kept_count += 1;
+        }
+    }
+    entries.truncate(kept_count);
+}
--- a/crates/limpet-gateway/src/retry_budget.rs
+++ b/crates/limpet-gateway/src/retry_budget.rs
@@ -24,8 +24,8 @@
     RankedWaiters, //
 };
 
-/// Time for which a computed share in the slack is used: the share is read for each request, and computing it visits
-/// the reports of all processes.
+/// Time for which a computed share in the slack is used: the share is read for each request, and computing it locks the
+/// reports of all processes.
 const SHARE_MAX_AGE: Duration = Duration::from_millis(100);
 
 /// Budget of one service.
