Keep the handles of the counters of load reports

Cause: each load report that was sent or applied looked up its counter by name and labels, and each datagram to one address that of the bytes sent. Change: the two counters that grow in normal operation are looked up at the start, and the bytes are counted once for all addresses of a datagram. The recorder of the tests that counts the use of metrics moves to the test support.

Evidence: 20 applied reports look up the counter 20 times with the former src, where reports_look_up_no_metric failed, and not once now. load_work 11, query_work 3, load_reports 13, odd_input 5 and membership 10 passed.

--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -32,6 +32,7 @@
 use super::{
     Announcement, NodeId, REPORT_PERIOD, Report, Welcome,
     load_reports::{
+        ReportCounters,
         StoppedReports,
         ignore_unknown_version,
         is_unknown_version, //
@@ -92,6 +93,7 @@
     /// Ways of the reports of the current turn.
     turn_routes: Mutex<TurnRoutes>,
     stopped_reports: Mutex<StoppedReports>,
+    pub(super) report_counters: ReportCounters,
 }
 
 /// Ways on which the reports of one turn, in which every process gets a report once, reach the others.
@@ -120,6 +122,7 @@
             round_count: AtomicU64::new(0),
             turn_routes: Mutex::default(),
             stopped_reports: Mutex::default(),
+            report_counters: ReportCounters::new(),
         })
     }
 
@@ -350,8 +353,9 @@
             if let Err(error) = self.socket.send_to(bytes, addr).await {
                 tracing::debug!(%addr, %error, "report not sent");
             }
-            metrics::counter!("limpet_report_bytes_total").increment(bytes.len() as u64);
         }
+        let sent_bytes = bytes.len() * addrs.len();
+        metrics::counter!("limpet_report_bytes_total").increment(sent_bytes as u64);
     }
 
     /// Adds the sender of an announcement to the directory of aggregators.
--- a/crates/limpet-gateway/src/members/load_reports.rs
+++ b/crates/limpet-gateway/src/members/load_reports.rs
@@ -24,6 +24,8 @@
     },
 };
 
+use metrics::Counter;
+
 use super::{
     Gossip,
     REPORT_PERIOD, //
@@ -43,6 +45,24 @@
 /// Why a received load report is not used, as the label of a metric.
 type Rejection = &'static str;
 
+/// Counters of the load reports that are sent and applied. Their handles are kept, because a process of a large fleet
+/// applies many reports in a second.
+#[derive(Debug)]
+pub(super) struct ReportCounters {
+    sent: Counter,
+    applied: Counter,
+}
+
+impl ReportCounters {
+    /// Looks up the handles of the counters.
+    pub(super) fn new() -> Self {
+        Self {
+            sent: counter("sent", "sent"),
+            applied: counter("received", "applied"),
+        }
+    }
+}
+
 /// Processes whose load reports stopped since the latest log line about them.
 #[derive(Debug, Default)]
 pub(super) struct StoppedReports {
@@ -99,7 +119,7 @@
             Ok(bytes) => {
                 let datagram = [&LOAD_REPORT_MARKER, bytes.as_slice()].concat();
                 self.send_on_routes(&datagram, &self.current_routes()).await;
-                count("sent", "sent");
+                self.report_counters.sent.increment(1);
             }
             Err(error) => tracing::error!(%error, "load report cannot be encoded"),
         }
@@ -107,11 +127,13 @@
 
     /// Applies a load report of another process, or ignores it.
     pub(super) fn handle_load_report(&self, datagram: &[u8], from: SocketAddr) {
-        let result = self.accept_load_report(datagram, from);
-        if let Err(reason) = result {
-            tracing::debug!(%from, reason, "load report ignored");
+        match self.accept_load_report(datagram, from) {
+            Ok(()) => self.report_counters.applied.increment(1),
+            Err(reason) => {
+                tracing::debug!(%from, reason, "load report ignored");
+                counter("received", reason).increment(1);
+            }
         }
-        count("received", result.err().unwrap_or("applied"));
     }
 
     /// Checks a load report and stores it; returns why it is ignored otherwise.
@@ -143,8 +165,8 @@
     pub(super) fn remove_outdated_loads(&self) {
         let now = self.shared.now();
         let stopped = self.shared.peer_loads().remove_outdated(now);
-        for _ in &stopped {
-            count("received", "stopped");
+        if !stopped.is_empty() {
+            counter("received", "stopped").increment(stopped.len() as u64);
         }
         let due_count = self.stopped_reports().add(stopped.len(), now);
         if let Some(processes) = due_count {
@@ -168,11 +190,10 @@
 /// warning.
 pub(super) fn ignore_unknown_version(from: SocketAddr) {
     tracing::debug!(%from, "load report of another release ignored");
-    count("received", "unknown_version");
+    counter("received", "unknown_version").increment(1);
 }
 
-/// Counts a load report.
-fn count(direction: &'static str, result: &'static str) {
+/// Returns the counter of load reports with these labels.
+fn counter(direction: &'static str, result: &'static str) -> Counter {
     metrics::counter!("limpet_load_reports_total", "direction" => direction, "result" => result)
-        .increment(1);
 }
--- a/crates/limpet-gateway/tests/load_work.rs
+++ b/crates/limpet-gateway/tests/load_work.rs
@@ -43,6 +43,7 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use support::{
     Behaviour,
+    CountingRecorder,
     Deployment,
     FakeTarget,
     PEER_PORT,
@@ -265,6 +266,26 @@
     assert!(idle > loaded * 2, "{loaded} and {idle} requests");
 }
 
+/// Guards against a look-up of the metric, by its name and labels, for each load report.
+#[tokio::test]
+async fn reports_look_up_no_metric() {
+    const REPORT_COUNT: u32 = 20;
+    const NAME: &str = "limpet_load_reports_total";
+    let recorder = CountingRecorder::default();
+    let _guard = metrics::set_default_local_recorder(&recorder);
+    let exchange = Exchange::start(LARGE_FLEET).await;
+    let lookup_count = recorder.lookups(NAME);
+    let peer_addr = exchange.peer.local_addr().unwrap();
+    let to = exchange.shared.settings.peer_addr;
+    for sequence in 1..=REPORT_COUNT {
+        let report = load_report(peer_addr, sequence, "t", 1);
+        exchange.peer.send_to(&report, to).await.unwrap();
+    }
+    sleep(HANDLING_TIME).await;
+    assert_eq!(recorder.changes(NAME), REPORT_COUNT as usize);
+    assert_eq!(recorder.lookups(NAME) - lookup_count, 0);
+}
+
 /// Collects log lines in memory.
 #[derive(Clone, Default)]
 struct LogLines(Arc<Mutex<Vec<u8>>>);
--- a/crates/limpet-gateway/tests/query_work.rs
+++ b/crates/limpet-gateway/tests/query_work.rs
@@ -3,13 +3,9 @@
 mod support;
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
-    sync::{
-        Arc,
-        Mutex, //
-    },
-    time::Duration,
+    sync::Arc,
+    time::Duration, //
 };
 
 use limpet_gateway::{
@@ -28,13 +24,10 @@
         LoadReport, //
     },
 };
-use metrics::{
-    Counter, CounterFn, Gauge, GaugeFn, Histogram, Key, KeyName, Metadata, Recorder, SharedString,
-    Unit,
-};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use support::{
     Behaviour,
+    CountingRecorder,
     Deployment,
     FakeTarget,
     PEER_PORT,
@@ -66,90 +59,6 @@
     "limpet_expected_wait_seconds",
 ];
 
-/// Counts by the name of the metric.
-type Counts = Arc<Mutex<HashMap<String, usize>>>;
-
-/// Counts how often each metric is changed.
-#[derive(Clone, Default)]
-struct CountingRecorder {
-    changes: Counts,
-}
-
-/// Handle of one metric.
-struct CountedMetric {
-    name: String,
-    changes: Counts,
-}
-
-impl CountedMetric {
-    fn add(&self) {
-        *self
-            .changes
-            .lock()
-            .unwrap()
-            .entry(self.name.clone())
-            .or_default() += 1;
-    }
-}
-
-impl CounterFn for CountedMetric {
-    fn increment(&self, _: u64) {
-        self.add();
-    }
-
-    fn absolute(&self, _: u64) {
-        self.add();
-    }
-}
-
-impl GaugeFn for CountedMetric {
-    fn increment(&self, _: f64) {
-        self.add();
-    }
-
-    fn decrement(&self, _: f64) {
-        self.add();
-    }
-
-    fn set(&self, _: f64) {
-        self.add();
-    }
-}
-
-impl CountingRecorder {
-    fn metric(&self, key: &Key) -> Arc<CountedMetric> {
-        Arc::new(CountedMetric {
-            name: key.name().into(),
-            changes: Arc::clone(&self.changes),
-        })
-    }
-
-    fn changes(&self, name: &str) -> usize {
-        let changes = self.changes.lock().unwrap();
-        changes.get(name).copied().unwrap_or_default()
-    }
-}
-
-impl Recorder for CountingRecorder {
-    fn describe_counter(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
-
-    fn describe_gauge(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
-
-    fn describe_histogram(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
-
-    fn register_counter(&self, key: &Key, _: &Metadata<'_>) -> Counter {
-        Counter::from_arc(self.metric(key))
-    }
-
-    fn register_gauge(&self, key: &Key, _: &Metadata<'_>) -> Gauge {
-        Gauge::from_arc(self.metric(key))
-    }
-
-    fn register_histogram(&self, _: &Key, _: &Metadata<'_>) -> Histogram {
-        Histogram::noop()
-    }
-}
-
 /// Returns a deployment with one target of the service `s`.
 fn deployment(route: Route, target: &FakeTarget) -> Deployment {
     let deployment = Deployment::new();
--- a/crates/limpet-gateway/tests/support/mod.rs
+++ b/crates/limpet-gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 mod caller;
+mod counting_recorder;
 mod deployment;
 mod fake_peer;
 mod target;
@@ -14,6 +15,7 @@
         get,
         post, //
     },
+    counting_recorder::CountingRecorder,
     deployment::{
         Deployment,
         LAPSE_LIMITS,
