--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -31,7 +31,12 @@
 
 use super::{
     Announcement, NodeId, REPORT_PERIOD, Report, Welcome,
-    load_reports::StoppedReports,
+    load_reports::{
+        ReportCounters,
+        StoppedReports,
+        ignore_unknown_version,
+        is_unknown_version, //
+    },
     routes::{
         own_report_routes,
         zone_addrs, //
@@ -88,6 +93,7 @@
     /// Ways of the reports of the current turn.
     turn_routes: Mutex<TurnRoutes>,
     stopped_reports: Mutex<StoppedReports>,
+    pub(super) report_counters: ReportCounters,
 }
 
 /// Ways on which the reports of one turn, in which every process gets a report once, reach the others.
@@ -116,6 +122,7 @@
             round_count: AtomicU64::new(0),
             turn_routes: Mutex::default(),
             stopped_reports: Mutex::default(),
+            report_counters: ReportCounters::new(),
         })
     }
 
@@ -135,7 +142,7 @@
             tokio::select! {
                 _ = ticks.tick() => {
                     self.remove_gone_processes();
-                    self.apply_reported_loads();
+                    self.remove_outdated_loads();
                     self.send_round(false).await;
                     self.send_load_report().await;
                 }
@@ -346,8 +353,9 @@
             if let Err(error) = self.socket.send_to(bytes, addr).await {
                 tracing::debug!(%addr, %error, "report not sent");
             }
-            metrics::counter!("limpet_report_bytes_total").increment(bytes.len() as u64);
         }
+        let sent_bytes = bytes.len() * addrs.len();
+        metrics::counter!("limpet_report_bytes_total").increment(sent_bytes as u64);
     }
 
     /// Adds the sender of an announcement to the directory of aggregators.
@@ -369,6 +377,10 @@
             self.handle_load_report(bytes, from);
             return None;
         }
+        if is_unknown_version(bytes) {
+            ignore_unknown_version(from);
+            return None;
+        }
         if Announcement::is_announcement(bytes) {
             self.handle_announcement(bytes, from);
             return None;
--- a/crates/limpet-gateway/src/members/load_reports.rs
+++ b/crates/limpet-gateway/src/members/load_reports.rs
@@ -8,10 +8,13 @@
     time::Duration, //
 };
 
-use limpet_decide::peer_load::{
-    LOAD_REPORT_PERIOD,
-    SERVICES_MAX,
-    TARGETS_MAX, //
+use limpet_decide::{
+    peer_load::{
+        LOAD_REPORT_PERIOD,
+        SERVICES_MAX,
+        TARGETS_MAX, //
+    },
+    spread::DIRECT_PROCESSES_MAX,
 };
 use limpet_types::{
     codec,
@@ -21,6 +24,8 @@
     },
 };
 
+use metrics::Counter;
+
 use super::{
     Gossip,
     REPORT_PERIOD, //
@@ -28,12 +33,36 @@
 
 /// Largest datagram of a load report; one with full lists has about 900 bytes.
 const DATAGRAM_MAX_BYTES: usize = 1200;
+/// Smallest second byte of a load report of any release; the first one is 0xff.
+const VERSION_MARKER_MIN: u8 = 0xf0;
 /// Shortest time between two log lines about processes whose load reports stopped.
 const STOPPED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time after the start in which a process may not have heard of all others, so that it reports the load of targets even
+/// if the fleet seems to be so small that nobody reads it.
+const START_TIME: Duration = Duration::from_secs(3);
+
 /// Why a received load report is not used, as the label of a metric.
 type Rejection = &'static str;
 
+/// Counters of the load reports that are sent and applied. Their handles are kept, because a process of a large fleet
+/// applies many reports in a second.
+#[derive(Debug)]
+pub(super) struct ReportCounters {
+    sent: Counter,
+    applied: Counter,
+}
+
+impl ReportCounters {
+    /// Looks up the handles of the counters.
+    pub(super) fn new() -> Self {
+        Self {
+            sent: counter("sent", "sent"),
+            applied: counter("received", "applied"),
+        }
+    }
+}
+
 /// Processes whose load reports stopped since the latest log line about them.
 #[derive(Debug, Default)]
 pub(super) struct StoppedReports {
@@ -67,9 +96,20 @@
         let period = LOAD_REPORT_PERIOD.max(report_interval.saturating_sub(REPORT_PERIOD / 2));
         shared.peer_loads().set_report_interval(report_interval);
         let (addr, now) = (shared.settings.peer_addr, shared.now());
-        let report = {
+        let process_count = shared.rate_limiter().process_counts().total;
+        let reports_targets = process_count > DIRECT_PROCESSES_MAX || now < START_TIME;
+        {
             let mut load_tracker = shared.load_tracker();
             load_tracker.set_report_period(period);
+            load_tracker.set_reports_targets(reports_targets);
+            if !load_tracker.may_report(now) {
+                return;
+            }
+        }
+        let gathers = shared.admission().gather_load(now);
+        let report = {
+            let mut load_tracker = shared.load_tracker();
+            load_tracker.set_gathers(gathers);
             load_tracker.next_report(self.node, addr, now)
         };
         let Some(report) = report else {
@@ -79,7 +119,7 @@
             Ok(bytes) => {
                 let datagram = [&LOAD_REPORT_MARKER, bytes.as_slice()].concat();
                 self.send_on_routes(&datagram, &self.current_routes()).await;
-                count("sent", "sent");
+                self.report_counters.sent.increment(1);
             }
             Err(error) => tracing::error!(%error, "load report cannot be encoded"),
         }
@@ -87,11 +127,13 @@
 
     /// Applies a load report of another process, or ignores it.
     pub(super) fn handle_load_report(&self, datagram: &[u8], from: SocketAddr) {
-        let result = self.accept_load_report(datagram, from);
-        if let Err(reason) = result {
-            tracing::debug!(%from, reason, "load report ignored");
+        match self.accept_load_report(datagram, from) {
+            Ok(()) => self.report_counters.applied.increment(1),
+            Err(reason) => {
+                tracing::debug!(%from, reason, "load report ignored");
+                counter("received", reason).increment(1);
+            }
         }
-        count("received", result.err().unwrap_or("applied"));
     }
 
     /// Checks a load report and stores it; returns why it is ignored otherwise.
@@ -119,14 +161,12 @@
         is_recorded.then_some(()).ok_or("outdated")
     }
 
-    /// Forgets the load of processes that no longer report it, and passes the rest to the targets.
-    ///
-    /// A round of the exchange does this, not each choice of a target: the sums over all reports cost too much for that.
-    pub(super) fn apply_reported_loads(&self) {
+    /// Forgets the load of processes that no longer report it.
+    pub(super) fn remove_outdated_loads(&self) {
         let now = self.shared.now();
         let stopped = self.shared.peer_loads().remove_outdated(now);
-        for _ in &stopped {
-            count("received", "stopped");
+        if !stopped.is_empty() {
+            counter("received", "stopped").increment(stopped.len() as u64);
         }
         let due_count = self.stopped_reports().add(stopped.len(), now);
         if let Some(processes) = due_count {
@@ -137,13 +177,23 @@
                 "load reports of processes stopped, their load is no longer considered"
             );
         }
-        let loads = self.shared.peer_loads().target_loads(now);
-        self.shared.fleet().set_reported_loads(&loads, now);
     }
 }
 
-/// Counts a load report.
-fn count(direction: &'static str, result: &'static str) {
+/// Returns whether a datagram that is no load report of this release is one of another release. No announcement begins
+/// with these bytes: its second byte is the variant of its address, 0 or 1.
+pub(super) fn is_unknown_version(datagram: &[u8]) -> bool {
+    matches!(datagram, [0xff, second, ..] if *second >= VERSION_MARKER_MIN)
+}
+
+/// Counts a load report of another release. There is one in each round while a fleet is upgraded, so none is logged as a
+/// warning.
+pub(super) fn ignore_unknown_version(from: SocketAddr) {
+    tracing::debug!(%from, "load report of another release ignored");
+    counter("received", "unknown_version").increment(1);
+}
+
+/// Returns the counter of load reports with these labels.
+fn counter(direction: &'static str, result: &'static str) -> Counter {
     metrics::counter!("limpet_load_reports_total", "direction" => direction, "result" => result)
-        .increment(1);
 }
