Count a crash against every query in flight on the target

Cause: only the query whose failure started the check whether a target still listens got a strike, always as the only suspect. A query that crashes targets while others run there was not refused if another failure was noticed first. Both crashes of one run of a query were one strike, so a query with two attempts crashed four targets. After a strike had expired, the next crash counted as known and the query was not refused again. A report held the 8 newest strikes, which may be those of others.

Change: CrashWatch collects the attempts that fail until the check ends; each query gets a strike once per crash. A query is quarantined with two strikes as the only suspect or three in all. Retries of a run count one by one; an attempt that would cost a fourth target waits for the checks and is not sent if the query is quarantined (error `suspected`). Reports draw their strikes from the 64 newest. Aggregators refuse quarantined queries.

--- a/crates/limpet-decide/src/quarantine/strike_table.rs
+++ b/crates/limpet-decide/src/quarantine/strike_table.rs
@@ -16,12 +16,24 @@
     message::Strike, //
 };
 
+use super::crash_suspect::{
+    CrashSuspect,
+    strike_crash_id, //
+};
+
 /// Time after a crash for which the strikes of the crash count.
 pub const STRIKE_TTL: Duration = Duration::from_secs(600);
 /// Maximum number of strikes in a table; the oldest strikes are dropped first.
 pub const STRIKES_MAX: usize = 4_096;
 /// Number of strikes that still count at which a request is quarantined.
 pub const QUARANTINE_STRIKES: usize = 2;
+/// Number of strikes that still count at which a query is quarantined even if others ran at each of its crashes.
+///
+/// A query without isolated runs cannot clear itself of a crash that another one caused. With two, one poison query
+/// quarantines others that were in flight at its first two crashes; a poison query costs at most this many targets.
+pub const QUERY_STRIKES_MAX: usize = 3;
+/// Number of the newest strikes from which those of a report are drawn.
+const SAMPLED_STRIKES_MAX: usize = 64;
 /// Time for which an isolated run of a request excludes a second one.
 ///
 /// Longer than the time to any deadline that a relay accepts: no deadline is later than the expiration of the
@@ -39,6 +51,17 @@
     Quarantined,
 }
 
+/// Whether another attempt of a query may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptPermission {
+    /// The attempt may be sent.
+    Allowed,
+    /// Earlier attempts of the query may have crashed or may yet crash their targets; the attempt waits until that is known.
+    AwaitOthers,
+    /// The query is quarantined.
+    Refused,
+}
+
 /// Returns the identifier of a target crash that the target's owner observed at `observed_at`.
 ///
 /// The time is part of the identifier because a target may crash again before it reports its new incarnation;
@@ -179,17 +202,113 @@
         entries.map_or(0, |entries| entries.iter().filter(live).count())
     }
 
-    /// Records a crash of a target under a query, which had `known_strikes` strikes when it began.
+    /// Returns the number of strikes of a query that are known, as [`CrashSuspect::known_strikes`] counts them.
+    ///
+    /// An expired or cleared strike leaves a gap, which the next crash fills.
+    pub fn known_strikes(&self, fingerprint: u64, now: Duration) -> usize {
+        let entries = self
+            .entries
+            .get(&fingerprint)
+            .map_or(&[][..], Vec::as_slice);
+        let is_known = |index: &usize| {
+            let crash_id = strike_crash_id(fingerprint, *index);
+            let is_live = |entry: &StrikeEntry| now < entry.crashed_at + STRIKE_TTL;
+            entries
+                .iter()
+                .any(|entry| entry.crash_id == crash_id && is_live(entry))
+        };
+        (0..entries.len()).take_while(is_known).count()
+    }
+
+    /// Returns whether a query is quarantined: it has [`QUARANTINE_STRIKES`] strikes as the only suspect, or
+    /// [`QUERY_STRIKES_MAX`] in all.
+    pub fn is_query_quarantined(&self, fingerprint: u64, now: Duration) -> bool {
+        let Some(entries) = self.entries.get(&fingerprint) else {
+            return false;
+        };
+        let live = entries
+            .iter()
+            .filter(|entry| now < entry.crashed_at + STRIKE_TTL);
+        let (count, sole_count) = live.fold((0, 0), |(count, sole_count), entry| {
+            (count + 1, sole_count + usize::from(entry.is_sole_suspect))
+        });
+        sole_count >= QUARANTINE_STRIKES || count >= QUERY_STRIKES_MAX
+    }
+
+    /// Returns whether another attempt of a query may be sent, while `at_risk_count` attempts of the same run at the same
+    /// service may have crashed or may yet crash their targets.
+    ///
+    /// Known crashes and attempts at risk together stay below [`QUERY_STRIKES_MAX`], which bounds the cost of a poison query
+    /// that is repeated without a pause. A query without strikes is delayed only after that many attempts without a reply.
+    pub fn attempt_permission(
+        &self,
+        fingerprint: u64,
+        at_risk_count: usize,
+        now: Duration,
+    ) -> AttemptPermission {
+        if self.is_query_quarantined(fingerprint, now) {
+            return AttemptPermission::Refused;
+        }
+        match self.strike_count(fingerprint, now) + at_risk_count < QUERY_STRIKES_MAX {
+            true => AttemptPermission::Allowed,
+            false => AttemptPermission::AwaitOthers,
+        }
+    }
+
+    /// Records a crash of a target against the queries that may have caused it; `others` were in flight there too, but the
+    /// crash was recorded against them before, or they are not suspected.
     ///
     /// A crash is evidence against a query only beside the crashes that were known before: of many copies of a popular
     /// query that are in flight while targets go down, or of one query at many targets, all get the same strike on all
-    /// processes, and a second one takes another crash after the first was known.
-    pub fn record_query_crash(&mut self, fingerprint: u64, known_strikes: usize, now: Duration) {
-        let known_strikes = known_strikes.to_le_bytes();
-        let crash_id = stable_hash_parts(&[&fingerprint.to_le_bytes(), &known_strikes]);
-        // A crash that happens after a success is new evidence.
-        self.cleared.remove(&(fingerprint, crash_id));
-        self.record_crash(crash_id, &[fingerprint], now);
+    /// processes, and a second one takes another crash after the first was known. Repeated attempts of one run count one
+    /// by one, but not as the only suspect: their targets may have gone down together.
+    pub fn record_target_crash(
+        &mut self,
+        suspects: &[CrashSuspect],
+        others: &[CrashSuspect],
+        now: Duration,
+    ) {
+        // Of several copies, the one that began last is the strongest evidence.
+        let mut latest: HashMap<u64, CrashSuspect> = HashMap::new();
+        for suspect in suspects {
+            let known = latest.entry(suspect.fingerprint).or_insert(*suspect);
+            if known.strike_index() < suspect.strike_index() {
+                *known = *suspect;
+            }
+        }
+        let all = suspects.iter().chain(others);
+        let is_single = all
+            .map(|suspect| suspect.fingerprint)
+            .collect::<HashSet<_>>()
+            .len()
+            == 1;
+        for suspect in others {
+            latest.remove(&suspect.fingerprint);
+            if !is_single {
+                self.share_strike(suspect);
+            }
+        }
+        for (fingerprint, suspect) in latest {
+            let crash_id = suspect.crash_id();
+            // A crash that happens after a success is new evidence.
+            self.cleared.remove(&(fingerprint, crash_id));
+            let entry = StrikeEntry {
+                crash_id,
+                is_sole_suspect: is_single && suspect.earlier_failures == 0,
+                crashed_at: now,
+            };
+            self.add(fingerprint, entry);
+        }
+        self.evict(now);
+    }
+
+    /// Marks the strike of a suspect as one of a crash with several suspects.
+    fn share_strike(&mut self, suspect: &CrashSuspect) {
+        let crash_id = suspect.crash_id();
+        let entries = self.entries.get_mut(&suspect.fingerprint);
+        for entry in entries.into_iter().flatten() {
+            entry.is_sole_suspect &= entry.crash_id != crash_id;
+        }
     }
 
     /// Records that a target ran a query and survived it, which removes all strikes of the query: one that crashes
@@ -269,6 +388,35 @@
         strikes
     }
 
+    /// Returns up to `count_max` of the newest strikes for a report to other processes; `draw` returns a random number below
+    /// its argument.
+    ///
+    /// A crash gives a strike to each query in flight, so the newest strikes alone may leave out that of the query which
+    /// caused it. Queries with several strikes are the most likely cause and get up to half of the places.
+    pub fn sample(
+        &self,
+        count_max: usize,
+        now: Duration,
+        draw: &mut dyn FnMut(usize) -> usize,
+    ) -> Vec<Strike> {
+        let newest = self.export(SAMPLED_STRIKES_MAX, now);
+        let is_repeated = |strike: &Strike| self.strike_count(strike.fingerprint, now) > 1;
+        let (mut repeated, mut others): (Vec<_>, Vec<_>) =
+            newest.into_iter().partition(is_repeated);
+        let mut sample = Vec::with_capacity(count_max);
+        while sample.len() < count_max && !(repeated.is_empty() && others.is_empty()) {
+            let takes_repeated =
+                others.is_empty() || !repeated.is_empty() && sample.len() < count_max / 2;
+            let source = match takes_repeated {
+                true => &mut repeated,
+                false => &mut others,
+            };
+            let index = draw(source.len());
+            sample.push(source.swap_remove(index));
+        }
+        sample
+    }
+
     /// Adds a strike; returns `false` if it is in the table already or was cleared by an isolated run.
     fn add(&mut self, fingerprint: u64, entry: StrikeEntry) -> bool {
         if self.cleared.contains_key(&(fingerprint, entry.crash_id)) {
@@ -279,8 +427,12 @@
             .iter_mut()
             .find(|known| known.crash_id == entry.crash_id)
         {
+            let is_expired = entry.crashed_at >= known.crashed_at + STRIKE_TTL;
+            if is_expired {
+                *known = entry;
+            }
             known.is_sole_suspect &= entry.is_sole_suspect;
-            return false;
+            return is_expired;
         }
         entries.push(entry);
         self.len += 1;
--- a/crates/limpet-decide/tests/query_strikes.rs
+++ b/crates/limpet-decide/tests/query_strikes.rs
@@ -1,8 +1,13 @@
 //! Strikes of queries on several processes that exchange them with a delay.
 
+#[path = "query_strikes/fleet.rs"]
+mod fleet;
+
 use std::time::Duration;
 
+use fleet::Rule;
 use limpet_decide::quarantine::{
+    CrashSuspect,
     Restriction,
     StrikeTable, //
 };
@@ -22,6 +27,15 @@
 /// Maximum number of repetitions that may reach a target after that.
 const LATE_REPETITIONS_MAX: usize = 3;
 
+/// Returns the query as a suspect that knew `known_strikes` of its strikes.
+const fn suspect(known_strikes: usize) -> CrashSuspect {
+    CrashSuspect {
+        fingerprint: QUERY,
+        known_strikes,
+        earlier_failures: 0,
+    }
+}
+
 /// The strike tables of a fleet.
 struct Fleet {
     tables: Vec<StrikeTable>,
@@ -55,8 +69,7 @@
     }
 
     fn quarantined_count(&self, now: Duration) -> usize {
-        let is_quarantined =
-            |table: &&StrikeTable| table.restriction(QUERY, now) == Restriction::Quarantined;
+        let is_quarantined = |table: &&StrikeTable| table.is_query_quarantined(QUERY, now);
         self.tables.iter().filter(is_quarantined).count()
     }
 }
@@ -75,11 +88,11 @@
             fleet.gossip(now);
             let process = rng.random_range(0..PROCESSES);
             let table = &mut fleet.tables[process];
-            if table.restriction(QUERY, now) == Restriction::Quarantined {
+            if table.is_query_quarantined(QUERY, now) {
                 continue;
             }
-            let known_strikes = table.strike_count(QUERY, now);
-            table.record_query_crash(QUERY, known_strikes, now);
+            let known_strikes = table.known_strikes(QUERY, now);
+            table.record_target_crash(&[suspect(known_strikes)], &[], now);
             crash_times.push(now);
         }
         fleet.gossip(now + GOSSIP_DELAY);
@@ -109,16 +122,13 @@
             let known_strikes: Vec<usize> = fleet
                 .tables
                 .iter()
-                .map(|table| table.strike_count(QUERY, now))
+                .map(|table| table.known_strikes(QUERY, now))
                 .collect();
             for _ in 0..rng.random_range(1..60) {
                 let process = rng.random_range(0..PROCESSES);
                 let recorded_at = now + Duration::from_millis(rng.random_range(0..40));
-                fleet.tables[process].record_query_crash(
-                    QUERY,
-                    known_strikes[process],
-                    recorded_at,
-                );
+                let suspects = [suspect(known_strikes[process])];
+                fleet.tables[process].record_target_crash(&suspects, &[], recorded_at);
             }
             now += Duration::from_millis(rng.random_range(40..700));
             fleet.gossip(now);
@@ -137,12 +147,99 @@
 fn success_does_not_excuse_later_crashes() {
     let mut table = StrikeTable::new();
     let at = Duration::from_secs;
-    table.record_query_crash(QUERY, 0, at(1));
+    table.record_target_crash(&[suspect(0)], &[], at(1));
     table.record_query_success(QUERY, at(2));
     assert_eq!(table.restriction(QUERY, at(2)), Restriction::None);
     for now in [3, 4] {
-        let known_strikes = table.strike_count(QUERY, at(now));
-        table.record_query_crash(QUERY, known_strikes, at(now));
+        let known_strikes = table.known_strikes(QUERY, at(now));
+        table.record_target_crash(&[suspect(known_strikes)], &[], at(now));
+    }
+    assert!(table.is_query_quarantined(QUERY, at(4)));
+}
+
+/// Guards against a query that crashes targets without end after its first strike has expired or was cleared elsewhere.
+#[test]
+fn gap_in_the_strikes_is_filled() {
+    let mut table = StrikeTable::new();
+    let at = Duration::from_secs;
+    for now in [1, 599, 602] {
+        let known_strikes = table.known_strikes(QUERY, at(now));
+        table.record_target_crash(&[suspect(known_strikes)], &[], at(now));
+    }
+    assert!(table.is_query_quarantined(QUERY, at(602)));
+}
+
+/// Guards against refusing a query that was one of several suspects twice, and against never refusing one that is a suspect
+/// each time.
+#[test]
+fn query_among_others_is_refused_after_three_crashes() {
+    let mut table = StrikeTable::new();
+    let now = Duration::from_secs(1);
+    for crash in 0..3 {
+        assert!(!table.is_query_quarantined(QUERY, now), "crash {crash}");
+        let other = CrashSuspect {
+            fingerprint: 100 + crash,
+            ..suspect(0)
+        };
+        let known_strikes = table.known_strikes(QUERY, now);
+        // Two copies, one of which began before the latest crash was known.
+        let suspects = [
+            suspect(known_strikes),
+            suspect(known_strikes.saturating_sub(1)),
+            other,
+        ];
+        table.record_target_crash(&suspects, &[], now);
+        assert_eq!(table.strike_count(QUERY, now), crash as usize + 1);
+        assert_eq!(table.strike_count(100 + crash, now), 1);
+    }
+    assert!(table.is_query_quarantined(QUERY, now));
+}
+
+/// Guards against counting a crash twice whose failures are noticed late, and against taking a query for the only suspect of
+/// it.
+#[test]
+fn late_suspect_of_a_crash_shares_it() {
+    let mut table = StrikeTable::new();
+    let now = Duration::from_secs(1);
+    let late = CrashSuspect {
+        fingerprint: 8,
+        ..suspect(0)
+    };
+    table.record_target_crash(&[suspect(0)], &[], now);
+    table.record_target_crash(&[late, suspect(0)], &[suspect(0)], now);
+    let strikes = table.export(8, now);
+    assert_eq!(strikes.len(), 2);
+    assert!(strikes.iter().all(|strike| !strike.is_alone), "{strikes:?}");
+}
+
+/// Guards against a poison query that is not refused, or only after it has crashed more than three targets, because other
+/// queries were in flight on them.
+#[test]
+fn poison_among_others_crashes_three_targets_at_most() {
+    for seed in 0..200 {
+        let counts = fleet::run(seed, Rule::AllSuspects, true);
+        assert!(counts.poison_crashes <= 3, "seed {seed}: {counts:?}");
+        assert!(counts.poison_refused > 0, "seed {seed}: {counts:?}");
+        assert_eq!(counts.popular_refused, 0, "seed {seed}: {counts:?}");
+        assert_eq!(counts.others_refused, 0, "seed {seed}: {counts:?}");
     }
-    assert_eq!(table.restriction(QUERY, at(4)), Restriction::Quarantined);
+}
+
+/// Guards against a popular query that is refused because targets crashed under it for other reasons.
+#[test]
+fn popular_query_among_others_is_served() {
+    for seed in 0..200 {
+        let counts = fleet::run(seed, Rule::AllSuspects, false);
+        assert!(counts.popular_sent > 600, "seed {seed}: {counts:?}");
+        assert_eq!(counts.popular_refused, 0, "seed {seed}: {counts:?}");
+    }
+}
+
+/// Shows that the tests above can fail: with the strike only for the query whose failure was noticed first, poison queries
+/// crash more targets.
+#[test]
+fn first_noticed_query_alone_does_not_suffice() {
+    let is_over = |seed| fleet::run(seed, Rule::FirstNoticed, true).poison_crashes > 3;
+    let over_count = (0..50).filter(|seed| is_over(*seed)).count();
+    assert!(over_count > 40, "{over_count} of 50 seeds");
 }
--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -23,7 +23,6 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
-use limpet_decide::quarantine::Restriction;
 use limpet_types::deployment::Destination;
 use tokio::time::{
     Instant,
@@ -37,6 +36,7 @@
         receive_body, //
     },
     query::{
+        CrashRisk,
         Outcome,
         QueryContext,
         RequestError,
@@ -266,15 +266,15 @@
         request_id,
     };
     let fingerprint = request_fingerprint(&request, host, team.as_deref());
-    let (restriction, known_strikes) = {
+    let (is_quarantined, known_strikes) = {
         let strike_table = shared.strike_table();
         let now = shared.now();
         (
-            strike_table.restriction(fingerprint, now),
-            strike_table.strike_count(fingerprint, now),
+            strike_table.is_query_quarantined(fingerprint, now),
+            strike_table.known_strikes(fingerprint, now),
         )
     };
-    if restriction == Restriction::Quarantined {
+    if is_quarantined {
         return Err(RequestError::not_run(RequestErrorKind::Quarantined));
     }
     let caller_waited = caller_timeout.map_or(Duration::ZERO, |caller_timeout| {
@@ -310,6 +310,7 @@
         known_strikes,
         aggregator_count: None,
         run_statistics: RunStatistics::default(),
+        crash_risk: CrashRisk::default(),
     })
 }
 
--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -295,6 +295,8 @@
             true => COMPLETE_KNOWN_ADDRS_MAX,
             false => KNOWN_ADDRS_MAX,
         });
+        let mut draw = |count| rand::rng().random_range(0..count);
+        let strikes = shared.strike_table().sample(STRIKES_MAX, now, &mut draw);
         Report {
             node: self.node,
             addr: shared.settings.peer_addr,
@@ -302,7 +304,7 @@
             admissions,
             welcome: None,
             known_addrs,
-            strikes: shared.strike_table().export(STRIKES_MAX, now),
+            strikes,
         }
     }
 
--- a/crates/limpet-gateway/src/query/aggregation.rs
+++ b/crates/limpet-gateway/src/query/aggregation.rs
@@ -26,6 +26,7 @@
 
 use super::{
     Answer,
+    CrashRisk,
     QueryContext,
     RequestErrorKind,
     RunStatistics,
@@ -54,6 +55,21 @@
     let Some(outgoing_request) = build_outgoing_request(&request) else {
         return GatherReply::Refused(GatherRefusal::OtherConfig);
     };
+    let (is_quarantined, known_strikes) = {
+        let strike_table = shared.strike_table();
+        let now = shared.now();
+        (
+            strike_table.is_query_quarantined(request.fingerprint, now),
+            strike_table.known_strikes(request.fingerprint, now),
+        )
+    };
+    // The process that sent the query may not have heard of the strikes yet.
+    if is_quarantined {
+        return GatherReply::Failed {
+            is_timed_out: false,
+            is_not_run: true,
+        };
+    }
     // Counts the query for a planned stop; whether it is refused is decided by its queue.
     let _guard = shared.aggregation_slots.begin();
     let now = Instant::now();
@@ -82,11 +98,10 @@
         arrived_at: now,
         deadline: now + request.time_left.min(route.timeout),
         fingerprint: request.fingerprint,
-        known_strikes: shared
-            .strike_table()
-            .strike_count(request.fingerprint, shared.now()),
+        known_strikes,
         aggregator_count,
         run_statistics: RunStatistics::default(),
+        crash_risk: CrashRisk::default(),
     };
     let outcome = run_admitted(Arc::new(query), gather).await;
     let is_busy = matches!(&outcome, Err(error) if error.kind == RequestErrorKind::Overloaded);
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -20,6 +20,7 @@
 use super::{
     QueryContext,
     crash_check,
+    crash_risk::begin_attempt,
     merge::RECORD_BYTES, //
     outcome::guarantees_not_run,
 };
@@ -62,6 +63,9 @@
     is_needed: impl Fn() -> bool,
 ) -> Result<TargetReply, AttemptError> {
     let shared = &query.shared;
+    let _counted_attempt = begin_attempt(query, target).await.inspect_err(|error| {
+        log_failure(query, target, error, Duration::ZERO);
+    })?;
     let mean_latency = shared.with_route_latency(&query.route.name, |latency| latency.mean());
     let in_flight = InFlightGuard::new(shared, target, mean_latency);
     let mut timer = AttemptTimer::new(query, target);
@@ -71,6 +75,7 @@
     let is_rejected = matches!(&result, Err(error) if error.kind == AttemptErrorKind::NotRun);
     query.run_statistics.record_part(is_rejected);
     if result.is_ok() {
+        query.crash_risk.record_reply();
         shared
             .strike_table()
             .record_query_success(query.fingerprint, now);
@@ -96,7 +101,8 @@
             match error.kind {
                 AttemptErrorKind::ConnectionLimit
                 | AttemptErrorKind::NotWanted
-                | AttemptErrorKind::NotNeeded => {}
+                | AttemptErrorKind::NotNeeded
+                | AttemptErrorKind::Suspected => {}
                 AttemptErrorKind::Unreachable | AttemptErrorKind::Timeout => {
                     target.health().record_no_reply(now);
                 }
@@ -109,19 +115,23 @@
             if error.kind == AttemptErrorKind::NoValidReply {
                 crash_check::check_for_crash(query, target);
             }
-            tracing::info!(
-                request_id = query.request_id(), target_id = %target.id, addr = %target.addr,
-                error = error.kind.label(), context = %error.context,
-                took_us = latency.as_micros(), "attempt failed"
-            );
-            metrics::counter!("limpet_attempt_failures_total", "kind" => error.kind.label())
-                .increment(1);
+            log_failure(query, target, error, latency);
         }
     }
     metrics::histogram!("limpet_attempt_seconds").record(latency.as_secs_f64());
     result
 }
 
+/// Logs and counts a failed attempt.
+fn log_failure(query: &QueryContext, target: &Target, error: &AttemptError, took: Duration) {
+    tracing::info!(
+        request_id = query.request_id(), target_id = %target.id, addr = %target.addr,
+        error = error.kind.label(), context = %error.context,
+        took_us = took.as_micros(), "attempt failed"
+    );
+    metrics::counter!("limpet_attempt_failures_total", "kind" => error.kind.label()).increment(1);
+}
+
 /// Measures the duration of an attempt.
 ///
 /// Dropping it before [`AttemptTimer::stop`] means that the attempt was abandoned. If it had taken much
@@ -270,6 +280,7 @@
     metrics::counter!("limpet_target_connections_total").increment(1);
     let deadline = query.deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let connection = Connection::open(target.addr, deadline).await?;
+    target.crash_watch.record_listening();
     Ok((connection, reservation))
 }
 
--- a/crates/limpet-gateway/src/query/mod.rs
+++ b/crates/limpet-gateway/src/query/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod attempt_wait;
 mod crash_check;
+mod crash_risk;
 mod detached_attempts;
 mod gather_progress;
 mod merge;
@@ -29,6 +30,7 @@
     admission_state::AdmissionState,
     aggregation::serve_aggregation,
     crash_check::is_no_listener,
+    crash_risk::CrashRisk,
     merge::greatest_records,
     outcome::{
         Answer,
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -9,7 +9,10 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::RunStatistics;
+use super::{
+    CrashRisk,
+    RunStatistics, //
+};
 use crate::{
     route_table::RouteTable,
     shared_state::SharedState,
@@ -38,12 +41,14 @@
     pub deadline: Instant,
     /// Hash that identifies repetitions of the same request, see [`request_fingerprint`].
     pub fingerprint: u64,
-    /// Number of strikes of the query when it began.
+    /// Number of strikes of the query when it began, see [`limpet_decide::quarantine::StrikeTable::known_strikes`].
     pub known_strikes: usize,
     /// Number of processes that may aggregate if this process is one of them and the query is a scatter-gather one.
     pub aggregator_count: Option<usize>,
     /// What the attempts of this run tell about it.
     pub run_statistics: RunStatistics,
+    /// Attempts of this run that may crash their targets.
+    pub crash_risk: CrashRisk,
 }
 
 impl QueryContext {
@@ -55,6 +60,7 @@
             route: self.route.clone(),
             request: self.request.clone(),
             run_statistics: RunStatistics::default(),
+            crash_risk: CrashRisk::default(),
             ..*self
         }
     }
--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -235,7 +235,7 @@
                 if !error.kind.may_have_arrived() {
                     self.arrived_attempts = self.arrived_attempts.saturating_sub(1);
                 }
-                let may_retry = is_not_run || self.query.route.is_idempotent();
+                let may_retry = error.kind.allows_retry(self.query.route.is_idempotent());
                 (error.kind.label(), may_retry)
             }
         };
--- a/crates/limpet-gateway/src/target/mod.rs
+++ b/crates/limpet-gateway/src/target/mod.rs
@@ -4,6 +4,7 @@
 mod cold_rate_limiter;
 mod connection;
 mod connection_pool;
+mod crash_watch;
 mod fleet;
 mod one_target;
 mod room_notifier;
@@ -22,6 +23,11 @@
         ReplyLimits, //
     },
     connection_pool::ConnectionPool,
+    crash_watch::{
+        ConfirmedCrash,
+        CrashWatch,
+        FailedAttempt, //
+    },
     fleet::{
         Fleet,
         TargetCriteria,
--- a/crates/limpet-gateway/src/target/one_target.rs
+++ b/crates/limpet-gateway/src/target/one_target.rs
@@ -30,6 +30,7 @@
 use super::{
     ColdRateLimiter,
     ConnectionPool,
+    CrashWatch,
     TargetHealth, //
 };
 use crate::shared_state::SharedState;
@@ -65,7 +66,8 @@
     /// Rank of this process among those that may send to the target while it is cold, with the version of the
     /// membership from which it was computed.
     cold_rank: Mutex<Option<(u64, usize)>>,
-    is_crash_check_running: AtomicBool,
+    /// Attempts that may have crashed the target.
+    pub crash_watch: CrashWatch,
 }
 
 /// Locks a field. The data stays consistent if another task panics while it holds the lock.
@@ -95,7 +97,7 @@
             pool: Mutex::new(ConnectionPool::default()),
             cold_rate_limiter: Mutex::new(cold_rate_limiter),
             cold_rank: Mutex::new(None),
-            is_crash_check_running: AtomicBool::new(false),
+            crash_watch: CrashWatch::default(),
         }
     }
 
@@ -178,16 +180,6 @@
     pub fn in_flight_count(&self) -> u32 {
         self.in_flight_count.load(Ordering::Relaxed)
     }
-
-    /// Marks a check whether the target crashed as running; returns false if one is already running.
-    pub fn try_begin_crash_check(&self) -> bool {
-        !self.is_crash_check_running.swap(true, Ordering::Relaxed)
-    }
-
-    /// Marks the check whether the target crashed as ended, so that the next one may begin.
-    pub fn end_crash_check(&self) {
-        self.is_crash_check_running.store(false, Ordering::Relaxed);
-    }
 }
 
 /// Guard that counts one request in flight to a target until it is dropped, for the choice of targets and for the
--- a/crates/limpet-gateway/tests/quarantine.rs
+++ b/crates/limpet-gateway/tests/quarantine.rs
@@ -36,19 +36,30 @@
 
 /// Starts a gateway with targets that crash on a path that contains `poison`.
 async fn start_gateway(target_count: usize) -> (RunningGateway, Vec<FakeTarget>) {
+    start_gateway_with(target_count, 1, Behaviour::Crash, Duration::ZERO).await
+}
+
+/// Starts a gateway whose targets answer after `answer_delay`, except on a path that contains `poison`.
+async fn start_gateway_with(
+    target_count: usize,
+    attempts_max: u32,
+    crash: Behaviour,
+    answer_delay: Duration,
+) -> (RunningGateway, Vec<FakeTarget>) {
     let deployment = Deployment::new();
     let mut config = config(
         1,
         vec![route("/one/", Idempotency::Idempotent, "s")],
         &["s"],
     );
-    config.routes[0].attempts_max = 1;
+    config.routes[0].attempts_max = attempts_max;
     deployment.publish_config(config);
     let mut targets = Vec::new();
     for index in 0..target_count {
-        let target = FakeTarget::start(|_, request| match request.line.contains("poison") {
-            true => Behaviour::Crash,
-            false => Behaviour::Answer(200, b"good", Duration::ZERO),
+        let crash = crash.clone();
+        let target = FakeTarget::start(move |_, request| match request.line.contains("poison") {
+            true => crash.clone(),
+            false => Behaviour::Answer(200, b"good", answer_delay),
         })
         .await;
         deployment.publish_target(&format!("t{index}"), target_record("s", target.addr));
@@ -105,6 +116,85 @@
     assert_eq!(get(gateway.caller_addr, "/one/other").await.status, 200);
 }
 
+/// Returns how many targets have received a request that crashes them.
+fn crashed_count(targets: &[FakeTarget]) -> usize {
+    let is_crashed = |target: &&FakeTarget| {
+        let requests = target.received_requests();
+        requests
+            .iter()
+            .any(|request| request.line.contains("poison"))
+    };
+    targets.iter().filter(is_crashed).count()
+}
+
+/// Guards against a crash that counts only against the query whose connection was seen to break first: one that crashes its
+/// targets while others run there would never be refused, and one of the others would be.
+#[tokio::test]
+async fn crashing_request_among_others_is_refused() {
+    const OTHERS: usize = 6;
+    let deployment = Deployment::new();
+    let mut config = config(
+        1,
+        vec![route("/one/", Idempotency::Idempotent, "s")],
+        &["s"],
+    );
+    config.routes[0].attempts_max = 1;
+    deployment.publish_config(config);
+    let start_target = || {
+        FakeTarget::start(|_, request| match request.line.contains("poison") {
+            true => Behaviour::CrashLast,
+            false => Behaviour::Answer(200, b"good", Duration::from_millis(120)),
+        })
+    };
+    let mut targets = vec![start_target().await];
+    deployment.publish_target("t0", target_record("s", targets[0].addr));
+    let gateway = RunningGateway::start(&deployment).await;
+    let addr = gateway.caller_addr;
+    let send = move |path: String| {
+        tokio::spawn(async move {
+            let headers = [("t-key", "key-a"), ("t-id", path.as_str())];
+            call(addr, Method::GET, &path, &headers, b"").await.status
+        })
+    };
+    let send_others = || (0..OTHERS).map(|n| send(format!("/one/other-{n}")));
+    let mut statuses = Vec::new();
+    for _ in 0..6 {
+        if crashed_count(&targets) == targets.len() {
+            // The only target that runs, so that all requests meet there.
+            let target = start_target().await;
+            let id = format!("t{}", targets.len());
+            deployment.publish_target(&id, target_record("s", target.addr));
+            targets.push(target);
+            sleep(CRASH_CHECK_WAIT).await;
+        }
+        for other in send_others() {
+            assert_eq!(other.await.unwrap(), 200);
+        }
+        let others: Vec<_> = send_others().collect();
+        sleep(Duration::from_millis(60)).await;
+        statuses.push(send("/one/poison".to_owned()).await.unwrap());
+        for other in others {
+            other.await.unwrap();
+        }
+        sleep(CRASH_CHECK_WAIT).await;
+    }
+    assert_eq!(statuses, [502, 502, 502, 503, 503, 503]);
+    assert_eq!(crashed_count(&targets), 3);
+}
+
+/// Guards against a query whose repetitions within one run crash more targets than the number after which it is refused.
+#[tokio::test]
+async fn crashing_request_with_retries_is_refused_after_three_crashes() {
+    let (gateway, targets) = start_gateway_with(8, 2, Behaviour::Crash, Duration::ZERO).await;
+    for _ in 0..5 {
+        get(gateway.caller_addr, "/one/poison").await;
+        sleep(CRASH_CHECK_WAIT).await;
+    }
+    assert_eq!(crashed_count(&targets), 3);
+    assert_eq!(get(gateway.caller_addr, "/one/poison").await.status, 503);
+    assert_eq!(get(gateway.caller_addr, "/one/other").await.status, 200);
+}
+
 /// Guards against refusing a popular query everywhere because copies of it were in flight on targets that crashed, one of
 /// them or several at once, once or again later.
 async fn popular_query_survives_crashes(crashing_count: usize) {
--- a/crates/limpet-gateway/tests/support/target.rs
+++ b/crates/limpet-gateway/tests/support/target.rs
@@ -46,6 +46,8 @@
     Close,
     /// Stops the target: its connections close and it no longer listens.
     Crash,
+    /// Like [`Behaviour::Crash`], but the connection of this request closes shortly after the others.
+    CrashLast,
     /// Runs the request and sends no response.
     Silent,
     /// Answers with the id of another request.
@@ -254,6 +256,14 @@
                 sleep(Duration::from_secs(30)).await;
                 return;
             }
+            Behaviour::CrashLast => {
+                tokio::spawn(async move {
+                    sleep(LAST_CLOSE_DELAY).await;
+                    drop(stream);
+                });
+                crash.notify_one();
+                return;
+            }
             Behaviour::Silent => {
                 // Returns when the gateway closes the connection.
                 let _ = timeout(Duration::from_secs(30), stream.read_u8()).await;
@@ -266,6 +276,10 @@
     }
 }
 
+/// Time between the close of the other connections of a target that crashes and that of the last one; shorter than the time
+/// after which a gateway checks whether the target still listens.
+const LAST_CLOSE_DELAY: Duration = Duration::from_millis(5);
+
 /// Body of a response that is cut.
 const CUT_BODY: &[u8] = b"0123456789abcdef";
 
--- a/crates/limpet-types/src/message/gossip.rs
+++ b/crates/limpet-types/src/message/gossip.rs
@@ -31,10 +31,10 @@
     /// Fingerprint of the request.
     pub fingerprint: u64,
     /// Hash that identifies the crash: of the target, its incarnation and the time of the crash; from a
-    /// gateway, of the request id, so that all crashes under one request id count as one.
+    /// gateway, of the fingerprint and the number of strikes that were known, so that all crashes beside
+    /// which equally many strikes were known count as one.
     pub crash_id: u64,
-    /// Whether no other request was in flight on the target when it crashed. Always true from a gateway,
-    /// which records only the request whose failed attempt led to the crash check.
+    /// Whether no other request was in flight on the target when it crashed.
     pub is_alone: bool,
     /// Time since the crash, summed over the gossip hops.
     pub age: Duration,
