Bound what callers that read slowly can hold

Cause: a caller that reads nothing kept its connection and the memory of its answer until it closed the connection: the limit for the head of the next request does not run while an answer is not sent. Merged answers did not count towards body_memory_bytes. The send buffer of a connection grew up to 4 MB outside of any limit. The admin port held any number of pages, and a reply to a suspended process was kept for good.

Merged answers are reserved until sent, at an aggregator until the other process has taken them (GuardedReply). The admin port accepts 64 connections. New metric limpet_stalled_readers_total.

--- a/crates/limpet-gateway/src/admin.rs
+++ b/crates/limpet-gateway/src/admin.rs
@@ -32,12 +32,21 @@
     time::sleep, //
 };
 
-use crate::shared_state::SharedState;
+use crate::{
+    shared_state::SharedState,
+    slow_reader::{
+        is_stalled,
+        limit_sends, //
+    },
+};
 
 /// Delay after a failed accept, which keeps the loop from spinning.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Maximum idle time of a connection.
+/// Maximum idle time of a connection, and longest time for which a client may read nothing of an answer.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum number of open connections for metrics and status; each may hold one page of metrics (some 100 KB). Further ones
+/// wait to be accepted. Readiness checks have short answers and no limit.
+const ADMIN_CONNECTIONS_MAX: usize = 64;
 
 /// Endpoints that one listener serves.
 #[derive(Clone, Debug)]
@@ -62,12 +71,19 @@
 /// Serves the endpoints until the future is dropped.
 pub async fn serve(listener: TcpListener, shared: Arc<SharedState>, endpoints: Endpoints) {
     let mut connections = JoinSet::new();
+    let connections_max = match endpoints {
+        Endpoints::Readiness => usize::MAX,
+        Endpoints::Admin(_) => ADMIN_CONNECTIONS_MAX,
+    };
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            accepted = listener.accept(), if connections.len() < connections_max => match accepted {
                 Ok((stream, _)) => {
                     let (shared, endpoints) = (Arc::clone(&shared), endpoints.clone());
                     connections.spawn(async move {
+                        let Ok(stream) = limit_sends(stream, IDLE_TIMEOUT) else {
+                            return;
+                        };
                         let service = service_fn(move |request| {
                             let response = build_response(&shared, &endpoints, &request);
                             async move { Ok::<_, Infallible>(response) }
@@ -77,6 +93,9 @@
                             .header_read_timeout(IDLE_TIMEOUT)
                             .serve_connection(TokioIo::new(stream), service);
                         if let Err(error) = connection.await {
+                            if is_stalled(&error) {
+                                metrics::counter!("limpet_stalled_readers_total", "server" => "admin").increment(1);
+                            }
                             tracing::debug!(%error, "admin connection ended");
                         }
                     });
--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -36,6 +36,7 @@
         receive_body, //
     },
     query::{
+        Answer,
         CrashRisk,
         Outcome,
         QueryContext,
@@ -171,7 +172,30 @@
         Destination::Split(split) => run_split(Arc::clone(&query), split).await,
         Destination::ScatterGather(gather) => run_placed_gather(Arc::clone(&query), gather).await,
     };
-    outcome.map_err(|error| complete_error(&query, error))
+    outcome
+        .map_err(|error| complete_error(&query, error))
+        .and_then(|answer| reserve_answer(shared, answer))
+}
+
+/// Reserves the memory of a merged answer until it is sent; that of a reply was reserved when it arrived.
+fn reserve_answer(shared: &SharedState, answer: Answer) -> Outcome {
+    match answer {
+        Answer::Gathered {
+            signatures,
+            missing_count,
+            body,
+        } => {
+            let no_memory_error =
+                |_: BodyError| RequestError::may_have_run(RequestErrorKind::NoMemory);
+            let body = shared.body_memory.reserve(body).map_err(no_memory_error)?;
+            Ok(Answer::Gathered {
+                signatures,
+                missing_count,
+                body,
+            })
+        }
+        Answer::Reply(reply) => Ok(Answer::Reply(reply)),
+    }
 }
 
 /// Returns the timeout that the caller sent, if any.
--- a/crates/limpet-gateway/src/frontend/response.rs
+++ b/crates/limpet-gateway/src/frontend/response.rs
@@ -87,9 +87,9 @@
     header_names: &HeaderNames,
     signatures: &[HeaderValue],
     missing_count: usize,
-    body: Vec<u8>,
+    body: Bytes,
 ) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(Full::new(body));
     let headers = response.headers_mut();
     let values: Vec<&[u8]> = signatures.iter().map(HeaderValue::as_bytes).collect();
     match HeaderValue::from_bytes(&values.join(&b", "[..])) {
--- a/crates/limpet-gateway/src/frontend/server.rs
+++ b/crates/limpet-gateway/src/frontend/server.rs
@@ -32,7 +32,13 @@
 };
 
 use super::handler::handle_request;
-use crate::shared_state::SharedState;
+use crate::{
+    shared_state::SharedState,
+    slow_reader::{
+        is_stalled,
+        limit_sends, //
+    },
+};
 
 /// Delay after a failed accept, which keeps the loop from spinning.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -181,10 +187,6 @@
     shared: Arc<SharedState>,
     mut stage_receiver: watch::Receiver<Stage>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(%error, "caller connection ended before its first request");
-        return;
-    }
     let (head_max_bytes, idle_timeout) = {
         let route_table = shared.route_table.load();
         route_table.as_ref().map_or(
@@ -195,6 +197,16 @@
             },
         )
     };
+    let stream = stream
+        .set_nodelay(true)
+        .and_then(|()| limit_sends(stream, idle_timeout));
+    let stream = match stream {
+        Ok(stream) => stream,
+        Err(error) => {
+            tracing::debug!(%error, "caller connection ended before its first request");
+            return;
+        }
+    };
     let service_shared = Arc::clone(&shared);
     let service = service_fn(move |request| {
         let shared = Arc::clone(&service_shared);
@@ -215,9 +227,7 @@
     if !is_closing {
         tokio::select! {
             result = connection.as_mut() => {
-                if let Err(error) = result {
-                    tracing::debug!(%error, "caller connection ended");
-                }
+                log_end(result);
                 return;
             }
             // The sender is dropped only after the server has closed.
@@ -225,7 +235,17 @@
         }
         connection.as_mut().graceful_shutdown();
     }
-    if let Err(error) = connection.await {
-        tracing::debug!(%error, "caller connection ended");
+    log_end(connection.await);
+}
+
+/// Logs the end of a connection, and counts it if its caller read nothing.
+fn log_end(result: hyper::Result<()>) {
+    match result {
+        Ok(()) => {}
+        Err(error) if is_stalled(&error) => {
+            tracing::info!("caller connection closed, because the caller reads nothing");
+            metrics::counter!("limpet_stalled_readers_total", "server" => "callers").increment(1);
+        }
+        Err(error) => tracing::debug!(%error, "caller connection ended"),
     }
 }
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -12,8 +12,12 @@
     FutureExt, //
 };
 use limpet_decide::shutdown::StopSchedule;
-use limpet_peer::PeerServer;
+use limpet_peer::{
+    GuardedReply,
+    PeerServer, //
+};
 use limpet_types::message::{
+    GatherReply,
     PeerReply,
     PeerRequest, //
 };
@@ -186,17 +190,39 @@
         async move {
             match request {
                 PeerRequest::Follow(request) => {
-                    PeerReply::Follow(serve_follower(&shared, request).await)
+                    PeerReply::Follow(serve_follower(&shared, request).await).into()
                 }
                 PeerRequest::Gather(request) => {
-                    PeerReply::Gather(serve_aggregation(&shared, *request).await)
+                    reserve_reply(&shared, serve_aggregation(&shared, *request).await)
                 }
-                _ => PeerReply::Unsupported,
+                _ => PeerReply::Unsupported.into(),
             }
         }
     })
 }
 
+/// Reserves the memory of a merged answer until the process that asked for it has got it.
+fn reserve_reply(shared: &SharedState, reply: GatherReply) -> GuardedReply {
+    let size_bytes = match &reply {
+        GatherReply::Gathered { body, .. } => body.len(),
+        _ => 0,
+    };
+    let mut reservation = shared.body_memory.reservation();
+    if !reservation.try_extend(size_bytes) {
+        metrics::counter!("limpet_bodies_dropped_total").increment(1);
+        // The query has run.
+        return PeerReply::Gather(GatherReply::Failed {
+            is_timed_out: false,
+            is_not_run: false,
+        })
+        .into();
+    }
+    GuardedReply {
+        reply: PeerReply::Gather(reply),
+        guard: Some(Box::new(reservation)),
+    }
+}
+
 /// Replaces the seeds of the membership after each reload of the settings.
 async fn apply_seed_updates(
     shared: Arc<SharedState>,
--- a/crates/limpet-gateway/src/lib.rs
+++ b/crates/limpet-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod settings;
 pub mod shared_state;
 pub mod shutdown_state;
+mod slow_reader;
 pub mod source;
 pub mod state_updater;
 pub mod target;
--- a/crates/limpet-gateway/src/memory.rs
+++ b/crates/limpet-gateway/src/memory.rs
@@ -1,4 +1,5 @@
-//! Memory for the bodies that a process holds: those of callers' requests and of targets' replies.
+//! Memory for the bodies that a process holds: those of callers' requests, of targets' replies and of merged answers,
+//! until they are sent.
 //!
 //! Answers this load: many targets or callers send bodies without end, or read slowly, at the same time. A body
 //! of usual size needs no reservation; what is larger shares a limit, and the body that asks for more when
@@ -79,6 +80,20 @@
         self.used_bytes.load(Ordering::Relaxed)
     }
 
+    /// Reserves the memory of a body that this process built, until the result and all its copies are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::NoMemory`] if the body is larger than usual while no memory is left.
+    pub fn reserve(self: &Arc<Self>, bytes: Bytes) -> Result<Bytes, BodyError> {
+        let mut reservation = self.reservation();
+        if !reservation.try_extend(bytes.len()) {
+            metrics::counter!("limpet_bodies_dropped_total").increment(1);
+            return Err(BodyError::NoMemory);
+        }
+        Ok(reservation.into_reserved(bytes))
+    }
+
     /// Reserves nothing yet.
     pub fn reservation(self: &Arc<Self>) -> BodyReservation {
         BodyReservation {
@@ -107,6 +122,17 @@
         }
         is_added
     }
+
+    /// Returns a body that keeps the reservation.
+    fn into_reserved(self, bytes: Bytes) -> Bytes {
+        if self.bytes == 0 {
+            return bytes;
+        }
+        Bytes::from_owner(ReservedBytes {
+            bytes,
+            _reservation: self,
+        })
+    }
 }
 
 impl Drop for BodyReservation {
@@ -159,11 +185,5 @@
         true => first,
         false => rest.freeze(),
     };
-    if reservation.bytes == 0 {
-        return Ok(bytes);
-    }
-    Ok(Bytes::from_owner(ReservedBytes {
-        bytes,
-        _reservation: reservation,
-    }))
+    Ok(reservation.into_reserved(bytes))
 }
--- a/crates/limpet-gateway/src/query/aggregation.rs
+++ b/crates/limpet-gateway/src/query/aggregation.rs
@@ -121,7 +121,7 @@
                 .map(|signature| signature.as_bytes().to_vec())
                 .collect(),
             missing_count: missing_count as u32,
-            body,
+            body: body.into(),
         },
         // A scatter-gather query has no other answer.
         Ok(Answer::Reply(_)) => GatherReply::Failed {
--- a/crates/limpet-gateway/src/query/outcome.rs
+++ b/crates/limpet-gateway/src/query/outcome.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{
     HeaderValue,
     StatusCode, //
@@ -134,7 +135,7 @@
         /// Number of shards whose part is missing.
         missing_count: usize,
         /// Greatest records of all parts, in descending order.
-        body: Vec<u8>,
+        body: Bytes,
     },
 }
 
--- a/crates/limpet-gateway/src/query/placed_gather.rs
+++ b/crates/limpet-gateway/src/query/placed_gather.rs
@@ -332,7 +332,7 @@
                 Ok(signatures) => Ok(Answer::Gathered {
                     signatures,
                     missing_count: missing_count as usize,
-                    body,
+                    body: body.into(),
                 }),
                 Err(_) => Err(RequestError::may_have_run(RequestErrorKind::OutcomeUnknown)),
             })
--- a/crates/limpet-gateway/src/query/scatter_gather.rs
+++ b/crates/limpet-gateway/src/query/scatter_gather.rs
@@ -136,7 +136,7 @@
     Ok(Answer::Gathered {
         signatures: parts.signatures,
         missing_count: shard_count - arrived_count,
-        body: greatest_records(&parts.bodies, gather.records_max),
+        body: greatest_records(&parts.bodies, gather.records_max).into(),
     })
 }
 
--- /dev/null
+++ b/crates/limpet-gateway/tests/slow_readers.rs
@@ -0,0 +1,97 @@
+//! Callers that read their answers slowly or not at all.
+
+mod support;
+
+use std::time::Duration;
+
+use support::{
+    IDLE_TIMEOUT,
+    LARGE_ANSWER_BYTES,
+    LARGE_PART_BYTES,
+    get,
+    send_without_reading,
+    start_large_answer_gateway, //
+};
+use tokio::{
+    io::AsyncReadExt,
+    net::TcpStream,
+    time::{
+        Instant,
+        sleep,
+        timeout, //
+    },
+};
+
+/// Reads until the end of the connection or `size_max_bytes`, with a pause after each piece; returns the number of bytes.
+async fn read_slowly(stream: &mut TcpStream, size_max_bytes: usize, pause: Duration) -> usize {
+    let mut size_bytes = 0;
+    let mut piece = vec![0; 128 << 10];
+    while size_bytes < size_max_bytes {
+        match stream.read(&mut piece).await {
+            Ok(0) | Err(_) => break,
+            Ok(read_bytes) => size_bytes += read_bytes,
+        }
+        sleep(pause).await;
+    }
+    size_bytes
+}
+
+/// Guards against a caller that reads nothing and keeps its connection and the memory of its answer for good.
+async fn reader_of_nothing_is_disconnected(path: &str) {
+    // Memory for one such answer.
+    let (gateway, _targets) = start_large_answer_gateway(11 << 20).await;
+    let addr = gateway.caller_addr;
+    let mut stalled = send_without_reading(addr, path).await;
+    sleep(IDLE_TIMEOUT / 2).await;
+    assert_eq!(
+        get(addr, path).await.status,
+        502,
+        "the answer is not counted"
+    );
+    sleep(IDLE_TIMEOUT * 2).await;
+    assert_eq!(
+        get(addr, path).await.status,
+        200,
+        "the memory is not released"
+    );
+    let read_bytes = read_slowly(&mut stalled, usize::MAX, Duration::ZERO).await;
+    assert!(read_bytes < 2 * LARGE_PART_BYTES, "{read_bytes} bytes");
+}
+
+limpet_testkit::async_cases! {
+    reader_of_nothing_is_disconnected:
+    reader_of_nothing_of_a_reply => "/large/a",
+    reader_of_nothing_of_a_merged_answer => "/merged/a",
+}
+
+/// Guards against a limit for the time until the next request that cuts an answer which is still being read.
+#[tokio::test]
+async fn slow_and_steady_reader_gets_the_whole_answer() {
+    let (gateway, _targets) = start_large_answer_gateway(11 << 20).await;
+    let started = Instant::now();
+    let mut stream = send_without_reading(gateway.caller_addr, "/large/a").await;
+    let pause = Duration::from_millis(3);
+    let read_bytes = read_slowly(&mut stream, LARGE_ANSWER_BYTES, pause).await;
+    assert!(read_bytes >= LARGE_ANSWER_BYTES, "{read_bytes} bytes");
+    assert!(started.elapsed() > IDLE_TIMEOUT * 2, "not slow enough");
+}
+
+/// Guards against clients of the admin port that read nothing and together hold any number of answers.
+#[tokio::test]
+async fn admin_connections_are_limited() {
+    const ADMIN_CONNECTIONS_MAX: usize = 64;
+    let (gateway, _targets) = start_large_answer_gateway(1 << 20).await;
+    let addr = gateway.admin_addr;
+    let mut connections = Vec::new();
+    for _ in 0..ADMIN_CONNECTIONS_MAX {
+        connections.push(TcpStream::connect(addr).await.unwrap());
+    }
+    sleep(Duration::from_millis(100)).await;
+    let mut status = tokio::spawn(async move { get(addr, "/status").await.status });
+    let early = timeout(Duration::from_millis(200), &mut status).await;
+    assert!(early.is_err(), "one connection too many is served");
+    assert!(gateway.is_ready().await);
+    connections.pop();
+    let status = timeout(Duration::from_secs(5), status).await;
+    assert_eq!(status.unwrap().unwrap(), 200);
+}
--- a/crates/limpet-gateway/tests/support/mod.rs
+++ b/crates/limpet-gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod deployment;
 mod fake_peer;
+mod slow_reader;
 mod target;
 
 #[allow(unused_imports)]
@@ -29,6 +30,13 @@
         unused_loopback_ip, //
     },
     fake_peer::FakePeer,
+    slow_reader::{
+        IDLE_TIMEOUT,
+        LARGE_ANSWER_BYTES,
+        LARGE_PART_BYTES,
+        send_without_reading,
+        start_large_answer_gateway, //
+    },
     target::{
         Behaviour,
         FakeTarget,
--- a/crates/limpet-peer/src/lib.rs
+++ b/crates/limpet-peer/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod connection;
 mod error;
+mod guarded_reply;
 mod message_metrics;
 mod server;
 
@@ -15,6 +16,7 @@
     PeerError,
     PeerErrorKind, //
 };
+pub use guarded_reply::GuardedReply;
 pub use server::{
     PeerServer,
     serve, //
--- a/crates/limpet-peer/src/server.rs
+++ b/crates/limpet-peer/src/server.rs
@@ -20,13 +20,7 @@
     Request,
     Response, //
 };
-use limpet_types::{
-    codec,
-    message::{
-        PeerReply,
-        PeerRequest, //
-    },
-};
+use limpet_types::{codec, message::PeerRequest};
 use tokio::{
     net::{
         TcpListener,
@@ -40,6 +34,7 @@
 };
 
 use crate::{
+    GuardedReply,
     body::{
         read_body,
         write_body, //
@@ -80,11 +75,13 @@
 
 /// Serves peers on `listener` until [`PeerServer::stop`] is called or the returned handle is dropped.
 ///
-/// `handler` is called once for each request; its future is dropped if the peer resets the stream.
-pub fn serve<H, F>(listener: TcpListener, handler: H) -> PeerServer
+/// `handler` is called once for each request; its future is dropped if the peer resets the stream. It returns a
+/// [`PeerReply`](limpet_types::message::PeerReply), or a [`GuardedReply`].
+pub fn serve<H, F, R>(listener: TcpListener, handler: H) -> PeerServer
 where
     H: Fn(PeerRequest) -> F + Send + Sync + 'static,
-    F: Future<Output = PeerReply> + Send + 'static,
+    F: Future<Output = R> + Send + 'static,
+    R: Into<GuardedReply> + Send + 'static,
 {
     let local_addr = listener.local_addr().ok();
     let (stop_sender, stop_signal) = watch::channel(false);
@@ -97,13 +94,14 @@
 }
 
 /// Accepts connections until the server stops, then waits for the open ones to close.
-async fn accept_connections<H, F>(
+async fn accept_connections<H, F, R>(
     listener: TcpListener,
     handler: Arc<H>,
     mut stop_signal: watch::Receiver<bool>,
 ) where
     H: Fn(PeerRequest) -> F + Send + Sync + 'static,
-    F: Future<Output = PeerReply> + Send + 'static,
+    F: Future<Output = R> + Send + 'static,
+    R: Into<GuardedReply> + Send + 'static,
 {
     let mut connections = JoinSet::new();
     loop {
@@ -133,13 +131,14 @@
 ///
 /// When the server stops, the connection accepts no further streams and closes after the streams in flight
 /// have finished.
-async fn serve_connection<H, F>(
+async fn serve_connection<H, F, R>(
     stream: TcpStream,
     handler: Arc<H>,
     mut stop_signal: watch::Receiver<bool>,
 ) where
     H: Fn(PeerRequest) -> F + Send + Sync + 'static,
-    F: Future<Output = PeerReply> + Send + 'static,
+    F: Future<Output = R> + Send + 'static,
+    R: Into<GuardedReply> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
     let handshake = h2::server::Builder::new()
@@ -182,13 +181,14 @@
 ///
 /// Resets the stream if the request cannot be decoded, and drops the handler's future if the peer resets
 /// the stream.
-async fn serve_stream<H, F>(
+async fn serve_stream<H, F, R>(
     request: Request<RecvStream>,
     mut responder: SendResponse<Bytes>,
     handler: Arc<H>,
 ) where
     H: Fn(PeerRequest) -> F,
-    F: Future<Output = PeerReply>,
+    F: Future<Output = R>,
+    R: Into<GuardedReply>,
 {
     // Tells the peer that this process reacts, before the peer sends a request that it would not know the fate of.
     let Ok(mut stream) = responder.send_response(Response::new(()), false) else {
@@ -211,19 +211,25 @@
         _ = poll_fn(|cx| stream.poll_reset(cx)) => return,
         reply = handler(request) => reply,
     };
-    if let Err(error) = send_reply(&mut stream, &reply).await {
+    if let Err(error) = send_reply(&mut stream, reply.into()).await {
         tracing::debug!(%error, "failed to send a reply to a peer");
     }
 }
 
 /// Sends a reply, or resets the stream if the reply cannot be encoded.
-async fn send_reply(stream: &mut SendStream<Bytes>, reply: &PeerReply) -> Result<(), h2::Error> {
-    let Ok(body) = codec::encode(reply) else {
+async fn send_reply(stream: &mut SendStream<Bytes>, reply: GuardedReply) -> Result<(), h2::Error> {
+    let GuardedReply { reply, guard } = reply;
+    let Ok(body) = codec::encode(&reply) else {
         stream.send_reset(h2::Reason::INTERNAL_ERROR);
         return Ok(());
     };
+    let kind = message_metrics::reply_kind(&reply);
+    // The reader may be slow; only the encoded reply is kept meanwhile.
+    drop(reply);
     let size_bytes = body.len();
-    write_body(stream, body.into()).await?;
-    message_metrics::record_sent(message_metrics::reply_kind(reply), size_bytes);
+    let result = write_body(stream, body.into()).await;
+    drop(guard);
+    result?;
+    message_metrics::record_sent(kind, size_bytes);
     Ok(())
 }
--- a/crates/limpet-peer/tests/calls.rs
+++ b/crates/limpet-peer/tests/calls.rs
@@ -7,18 +7,27 @@
     time::Duration, //
 };
 
+use bytes::Bytes;
 use limpet_peer::{
+    GuardedReply,
     PeerClient,
     PeerErrorKind,
     PeerServer,
     serve, //
 };
-use limpet_types::message::{
-    PeerReply,
-    PeerRequest, //
+use limpet_types::{
+    codec,
+    message::{
+        GatherReply,
+        PeerReply,
+        PeerRequest, //
+    },
 };
 use tokio::{
-    net::TcpListener,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
     sync::Notify, //
 };
 
@@ -62,14 +71,55 @@
     assert!(error.is_not_sent());
 }
 
+/// Notifies when it is dropped.
+struct NotifyOnDrop(Arc<Notify>);
+
+impl Drop for NotifyOnDrop {
+    fn drop(&mut self) {
+        self.0.notify_one();
+    }
+}
+
+/// Guards against a peer that was suspended and keeps the memory of the replies to it for good: its kernel keeps the
+/// connection open.
+#[tokio::test(start_paused = true)]
+async fn a_reply_to_a_peer_that_reads_nothing_is_dropped() {
+    const REPLY_BYTES: usize = 1 << 20;
+    let (listener, addr) = bind_listener().await;
+    let drop_signal = Arc::new(Notify::new());
+    let handler_drop_signal = Arc::clone(&drop_signal);
+    let server = serve(listener, move |_| {
+        let guard = NotifyOnDrop(Arc::clone(&handler_drop_signal));
+        let reply = GatherReply::Gathered {
+            signatures: Vec::new(),
+            missing_count: 0,
+            body: vec![0; REPLY_BYTES],
+        };
+        async move {
+            GuardedReply {
+                reply: PeerReply::Gather(reply),
+                guard: Some(Box::new(guard)),
+            }
+        }
+    });
+    let stream = TcpStream::connect(addr).await.unwrap();
+    let (mut sender, connection) = h2::client::handshake(stream).await.unwrap();
+    let driver = tokio::spawn(connection);
+    let (response, mut body) = sender.send_request(http::Request::new(()), false).unwrap();
+    let request = codec::encode(&PeerRequest::Status).unwrap();
+    body.send_data(Bytes::from(request), true).unwrap();
+    // The body is not read, so its flow-control window stays closed.
+    let _unread = response.await.unwrap();
+    tokio::time::timeout(TEST_TIMEOUT, drop_signal.notified())
+        .await
+        .expect("the reply was not dropped");
+    driver.abort();
+    drop(sender);
+    server.stop().await;
+}
+
 #[tokio::test]
 async fn a_dropped_call_cancels_the_handler() {
-    struct NotifyOnDrop(Arc<Notify>);
-    impl Drop for NotifyOnDrop {
-        fn drop(&mut self) {
-            self.0.notify_one();
-        }
-    }
     let (listener, addr) = bind_listener().await;
     let (start_signal, drop_signal) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
     let (handler_start_signal, handler_drop_signal) =
