Join the tasks of connections at the end of a process

Cause: the task of a target connection was aborted on drop and never joined. The server for other processes and the client for calls to them were dropped at the end of a stop without waiting for their tasks, and caller connections that were still open were aborted without a join.

Change: BackgroundTasks owns the tasks beside requests and those of target connections, and starts none once it has ended. FrontendServer::stop joins what it closes. PeerServer::stop_by closes and joins what is open at a given time; the gateway gives it 50 ms, because followers wait for changes.

--- a/crates/limpet-gateway/src/frontend/server.rs
+++ b/crates/limpet-gateway/src/frontend/server.rs
@@ -59,6 +59,8 @@
 enum Stage {
     Serving,
     Closing,
+    /// Connections that are still open are closed without an answer.
+    Aborting,
 }
 
 /// A running server for callers.
@@ -91,7 +93,8 @@
         self.shared.shutdown.cancel_requests();
         if timeout_at(close_at, &mut accept_task).await.is_err() {
             tracing::warn!("connections closed without an answer at shutdown");
-            accept_task.abort();
+            let _ = self.stage_sender.send(Stage::Aborting);
+            let _ = accept_task.await;
         }
     }
 }
@@ -164,7 +167,13 @@
         connections.spawn(serve_connection_guarded(stream, &shared, &stage_receiver));
     }
     drop(listener);
-    while connections.join_next().await.is_some() {}
+    let end_connections = async { while connections.join_next().await.is_some() {} };
+    tokio::select! {
+        () = end_connections => {}
+        // Fails if the server was dropped: then nobody waits for the connections.
+        Ok(_) = stage_receiver.wait_for(|stage| *stage == Stage::Aborting) => {}
+    }
+    connections.shutdown().await;
 }
 
 /// Serves the requests of one connection and counts it as open meanwhile.
@@ -212,7 +221,7 @@
         let shared = Arc::clone(&service_shared);
         async move { Ok::<_, Infallible>(handle_request(shared, request).await) }
     });
-    let is_closing = *stage_receiver.borrow() == Stage::Closing;
+    let is_closing = *stage_receiver.borrow() != Stage::Serving;
     let idle_timeout = match is_closing {
         true => idle_timeout.min(FINAL_IDLE_TIMEOUT),
         false => idle_timeout,
@@ -231,7 +240,7 @@
                 return;
             }
             // The sender is dropped only after the server has closed.
-            _ = stage_receiver.wait_for(|stage| *stage == Stage::Closing) => {}
+            _ = stage_receiver.wait_for(|stage| *stage != Stage::Serving) => {}
         }
         connection.as_mut().graceful_shutdown();
     }
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -61,6 +61,10 @@
 /// One in this many maintenance rounds also closes expired connections and updates gauges, which costs more.
 const ROUNDS_PER_FULL_MAINTENANCE: u32 = 8;
 
+/// Longest time at the end of a stop for which connections of other processes may still send what is ready. Followers wait
+/// for changes on theirs for longer.
+const PEER_CLOSE_TIME: Duration = Duration::from_millis(50);
+
 /// Why a gateway cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum GatewayError {
@@ -160,8 +164,13 @@
     }
     gossip.announce_leave().await;
     tasks.shutdown().await;
-    drop(peer_server);
-    shared.stop_background_tasks().await;
+    let peer_close_at = Instant::now() + PEER_CLOSE_TIME;
+    peer_server
+        .stop_by(peer_close_at.min(stop_started + schedule.close_at()))
+        .await;
+    shared.peer_client.close().await;
+    // The last ones: connections to targets belong to them, and ending requests may have started some.
+    shared.background_tasks.stop().await;
     tracing::info!(
         took_ms = stop_started.elapsed().as_millis(),
         "gateway stopped"
--- a/crates/limpet-gateway/src/lib.rs
+++ b/crates/limpet-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod aggregation_slots;
+pub mod background_tasks;
 pub mod clock;
 pub mod deployment_state;
 pub mod frontend;
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -279,7 +279,8 @@
     let reservation = ConnectionReservation(Some(Arc::clone(target)));
     metrics::counter!("limpet_target_connections_total").increment(1);
     let deadline = query.deadline.min(Instant::now() + CONNECT_TIMEOUT);
-    let connection = Connection::open(target.addr, deadline).await?;
+    let connection =
+        Connection::open(target.addr, deadline, &query.shared.background_tasks).await?;
     target.crash_watch.record_listening();
     Ok((connection, reservation))
 }
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -43,13 +43,11 @@
     deployment::Route,
     message::NameHash, //
 };
-use tokio::{
-    sync::watch,
-    task::JoinSet, //
-};
+use tokio::sync::watch;
 
 use crate::{
     aggregation_slots::AggregationSlots,
+    background_tasks::BackgroundTasks,
     clock::Clock,
     deployment_state::DeploymentState,
     header_names::HeaderNames,
@@ -118,8 +116,8 @@
     wait_time_estimators: Mutex<HashMap<Box<str>, WaitTimeEstimatorsByTeam>>,
     /// Memory for the bodies of requests and replies.
     pub body_memory: Arc<BodyMemory>,
-    /// Tasks that run beside the requests that started them.
-    background_tasks: Mutex<JoinSet<()>>,
+    /// Tasks that run beside the requests that started them, and those of the connections to targets.
+    pub background_tasks: BackgroundTasks,
     /// Client for calls to other gateway processes.
     pub peer_client: PeerClient,
     /// Processes that may run scatter-gather queries for this one.
@@ -184,7 +182,7 @@
             route_latencies: Mutex::new(HashMap::new()),
             wait_time_estimators: Mutex::new(HashMap::new()),
             body_memory,
-            background_tasks: Mutex::new(JoinSet::new()),
+            background_tasks: BackgroundTasks::new(),
             peer_client: PeerClient::new(),
             aggregators: Mutex::new(aggregators),
             aggregator_chooser: Mutex::new(AggregatorChooser::new()),
@@ -285,15 +283,7 @@
 
     /// Runs a task beside the request that starts it; it is cancelled at the end of the process at the latest.
     pub fn spawn_background(&self, task: impl Future<Output = ()> + Send + 'static) {
-        let mut background_tasks = lock(&self.background_tasks);
-        while background_tasks.try_join_next().is_some() {}
-        background_tasks.spawn(task);
-    }
-
-    /// Cancels the background tasks and waits until they have ended.
-    pub async fn stop_background_tasks(&self) {
-        let mut background_tasks = std::mem::take(&mut *lock(&self.background_tasks));
-        background_tasks.shutdown().await;
+        self.background_tasks.spawn(task);
     }
 
     /// Locks the state of the deployment.
--- a/crates/limpet-gateway/src/target/connection.rs
+++ b/crates/limpet-gateway/src/target/connection.rs
@@ -23,7 +23,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
-    task::JoinHandle,
+    task::AbortHandle,
     time::{
         Instant,
         timeout_at, //
@@ -35,9 +35,12 @@
     AttemptErrorKind,
     TargetReply, //
 };
-use crate::memory::{
-    BodyMemory,
-    receive_body, //
+use crate::{
+    background_tasks::BackgroundTasks,
+    memory::{
+        BodyMemory,
+        receive_body, //
+    },
 };
 
 /// Largest head of a reply. A target in trouble may send one without end.
@@ -72,9 +75,9 @@
     pub memory: Arc<BodyMemory>,
 }
 
-/// Task that drives the I/O of a connection; aborted on drop.
+/// Handle of the task that drives the I/O of a connection; aborts the task on drop. The set that it belongs to joins it.
 #[derive(Debug)]
-struct ConnectionTask(JoinHandle<()>);
+struct ConnectionTask(AbortHandle);
 
 impl Drop for ConnectionTask {
     fn drop(&mut self) {
@@ -94,12 +97,16 @@
 }
 
 impl Connection {
-    /// Connects to `addr`.
+    /// Connects to `addr`; the task of the connection belongs to `tasks`.
     ///
     /// # Errors
     ///
     /// Returns [`AttemptErrorKind::Unreachable`] if no connection is established.
-    pub async fn open(addr: SocketAddr, deadline: Instant) -> Result<Self, AttemptError> {
+    pub async fn open(
+        addr: SocketAddr,
+        deadline: Instant,
+        tasks: &BackgroundTasks,
+    ) -> Result<Self, AttemptError> {
         let unreachable_error = |error: &dyn std::fmt::Display| {
             AttemptError::new(AttemptErrorKind::Unreachable, error) //
         };
@@ -115,11 +122,12 @@
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(|error| unreachable_error(&error))?;
-        let task = tokio::spawn(async move {
+        let task = tasks.spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%addr, %error, "connection ended");
             }
         });
+        let task = task.ok_or_else(|| unreachable_error(&"the process stops"))?;
         Ok(Self {
             sender,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
--- a/crates/limpet-peer/src/server.rs
+++ b/crates/limpet-peer/src/server.rs
@@ -31,6 +31,10 @@
         JoinHandle,
         JoinSet, //
     },
+    time::{
+        Instant,
+        timeout_at, //
+    },
 };
 
 use crate::{
@@ -50,10 +54,20 @@
 /// Initial flow-control window of a stream; the window of a connection is four times as large.
 const STREAM_WINDOW_BYTES: u32 = 2 << 20;
 
+/// How far a server has stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Serving,
+    /// No new connections and streams are accepted; those that are open finish.
+    Draining,
+    /// Connections and streams are closed.
+    Aborting,
+}
+
 /// Handle of a running server.
 #[derive(Debug)]
 pub struct PeerServer {
-    stop_sender: watch::Sender<bool>,
+    stage_sender: watch::Sender<Stage>,
     accept_task: JoinHandle<()>,
     local_addr: Option<SocketAddr>,
 }
@@ -68,9 +82,19 @@
     /// Stops accepting connections and streams, and waits until the streams in flight have finished and
     /// all tasks have ended.
     pub async fn stop(self) {
-        let _ = self.stop_sender.send(true);
+        let _ = self.stage_sender.send(Stage::Draining);
         let _ = self.accept_task.await;
     }
+
+    /// Works as [`PeerServer::stop`], but closes what is still open at `close_at`.
+    pub async fn stop_by(self, close_at: Instant) {
+        let _ = self.stage_sender.send(Stage::Draining);
+        let mut accept_task = self.accept_task;
+        if timeout_at(close_at, &mut accept_task).await.is_err() {
+            let _ = self.stage_sender.send(Stage::Aborting);
+            let _ = accept_task.await;
+        }
+    }
 }
 
 /// Serves peers on `listener` until [`PeerServer::stop`] is called or the returned handle is dropped.
@@ -84,10 +108,14 @@
     R: Into<GuardedReply> + Send + 'static,
 {
     let local_addr = listener.local_addr().ok();
-    let (stop_sender, stop_signal) = watch::channel(false);
-    let accept_task = tokio::spawn(accept_connections(listener, Arc::new(handler), stop_signal));
+    let (stage_sender, stage_receiver) = watch::channel(Stage::Serving);
+    let accept_task = tokio::spawn(accept_connections(
+        listener,
+        Arc::new(handler),
+        stage_receiver,
+    ));
     PeerServer {
-        stop_sender,
+        stage_sender,
         accept_task,
         local_addr,
     }
@@ -97,7 +125,7 @@
 async fn accept_connections<H, F, R>(
     listener: TcpListener,
     handler: Arc<H>,
-    mut stop_signal: watch::Receiver<bool>,
+    mut stage_receiver: watch::Receiver<Stage>,
 ) where
     H: Fn(PeerRequest) -> F + Send + Sync + 'static,
     F: Future<Output = R> + Send + 'static,
@@ -111,7 +139,7 @@
                     connections.spawn(serve_connection(
                         stream,
                         Arc::clone(&handler),
-                        stop_signal.clone(),
+                        stage_receiver.clone(),
                     ));
                 }
                 Err(error) => {
@@ -120,10 +148,11 @@
                 }
             },
             Some(_) = connections.join_next() => {}
-            _ = stop_signal.changed() => break,
+            _ = stage_receiver.changed() => break,
         }
     }
     drop(listener);
+    // The connections end by themselves, also when they are to be closed: each joins its streams.
     while connections.join_next().await.is_some() {}
 }
 
@@ -134,7 +163,7 @@
 async fn serve_connection<H, F, R>(
     stream: TcpStream,
     handler: Arc<H>,
-    mut stop_signal: watch::Receiver<bool>,
+    mut stage_receiver: watch::Receiver<Stage>,
 ) where
     H: Fn(PeerRequest) -> F + Send + Sync + 'static,
     F: Future<Output = R> + Send + 'static,
@@ -146,7 +175,20 @@
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(STREAM_WINDOW_BYTES * 4)
         .handshake(stream);
-    let mut connection = match handshake.await {
+    let mut abort_receiver = stage_receiver.clone();
+    let aborted = async move {
+        let abort = abort_receiver.wait_for(|stage| *stage == Stage::Aborting);
+        if abort.await.is_err() {
+            // The handle was dropped: the connection ends with its streams.
+            std::future::pending::<()>().await;
+        }
+    };
+    tokio::pin!(aborted);
+    let handshake = tokio::select! {
+        result = handshake => result,
+        () = &mut aborted => return,
+    };
+    let mut connection = match handshake {
         Ok(connection) => connection,
         Err(error) => {
             tracing::debug!(%error, "peer handshake failed");
@@ -168,10 +210,11 @@
                 None => break,
             },
             Some(_) = streams.join_next() => {}
-            _ = stop_signal.changed(), if !is_stopping => {
+            _ = stage_receiver.changed(), if !is_stopping => {
                 is_stopping = true;
                 connection.graceful_shutdown();
             }
+            () = &mut aborted => break,
         }
     }
     streams.shutdown().await;
--- a/crates/limpet-peer/tests/calls.rs
+++ b/crates/limpet-peer/tests/calls.rs
@@ -118,6 +118,42 @@
     server.stop().await;
 }
 
+/// Guards against a stop that waits for streams and connections which do not end, and against tasks that outlive it.
+#[tokio::test]
+async fn a_stop_by_a_time_ends_the_streams_in_flight() {
+    let (listener, addr) = bind_listener().await;
+    let (start_signal, drop_signal) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let (handler_start_signal, handler_drop_signal) =
+        (Arc::clone(&start_signal), Arc::clone(&drop_signal));
+    let server = serve(listener, move |_| {
+        let guard = NotifyOnDrop(Arc::clone(&handler_drop_signal));
+        let start_signal = Arc::clone(&handler_start_signal);
+        async move {
+            let _guard = guard;
+            start_signal.notify_one();
+            std::future::pending::<PeerReply>().await
+        }
+    });
+    let _silent = TcpStream::connect(addr).await.unwrap();
+    let client = PeerClient::new();
+    let calling_client = client.clone();
+    let call = tokio::spawn(async move {
+        calling_client
+            .call(addr, &PeerRequest::Status, TEST_TIMEOUT)
+            .await
+    });
+    start_signal.notified().await;
+    let close_at = tokio::time::Instant::now() + Duration::from_millis(50);
+    tokio::time::timeout(TEST_TIMEOUT, server.stop_by(close_at))
+        .await
+        .expect("the server did not stop");
+    // The permit is stored already, since the stop joined the task of the handler.
+    let dropped = tokio::time::timeout(Duration::ZERO, drop_signal.notified());
+    assert!(dropped.await.is_ok(), "the handler outlived the stop");
+    assert!(call.await.unwrap().is_err());
+    client.close().await;
+}
+
 #[tokio::test]
 async fn a_dropped_call_cancels_the_handler() {
     let (listener, addr) = bind_listener().await;
