Limit the targets that a crashing gather costs after its first parts

Cause: attempts were counted for each service, so each run of a gather that crashes its targets cost up to two targets of each shard until it was quarantined after the second or third run.

Change: until one of its attempts gets a reply, the attempts of a run at all services count for the permission of the next one, as do the crashes of the run. Attempts at other services are awaited for a quarter of the goal at most, because their targets may be silent.

--- a/crates/limpet-decide/src/quarantine/strike_table.rs
+++ b/crates/limpet-decide/src/quarantine/strike_table.rs
@@ -235,21 +235,24 @@
         sole_count >= QUARANTINE_STRIKES || count >= QUERY_STRIKES_MAX
     }
 
-    /// Returns whether another attempt of a query may be sent, while `at_risk_count` attempts of the same run at the same
-    /// service may have crashed or may yet crash their targets.
+    /// Returns whether another attempt of a query may be sent: `crashed_count` attempts of the same run crashed their targets,
+    /// and `at_risk_count` may have done so or may yet do so.
     ///
     /// Known crashes and attempts at risk together stay below [`QUERY_STRIKES_MAX`], which bounds the cost of a poison query
     /// that is repeated without a pause. A query without strikes is delayed only after that many attempts without a reply.
     pub fn attempt_permission(
         &self,
         fingerprint: u64,
+        crashed_count: usize,
         at_risk_count: usize,
         now: Duration,
     ) -> AttemptPermission {
         if self.is_query_quarantined(fingerprint, now) {
             return AttemptPermission::Refused;
         }
-        match self.strike_count(fingerprint, now) + at_risk_count < QUERY_STRIKES_MAX {
+        // A strike of the run may stand for several of its crashes.
+        let known_count = crashed_count.max(self.strike_count(fingerprint, now));
+        match known_count + at_risk_count < QUERY_STRIKES_MAX {
             true => AttemptPermission::Allowed,
             false => AttemptPermission::AwaitOthers,
         }
--- a/crates/limpet-decide/tests/query_strikes/fleet.rs
+++ b/crates/limpet-decide/tests/query_strikes/fleet.rs
@@ -190,7 +190,7 @@
         };
         let pending_count = self.checks.iter().filter(is_own).count();
         let table = &self.tables[attempt.process];
-        match table.attempt_permission(fingerprint, pending_count, self.now) {
+        match table.attempt_permission(fingerprint, 0, pending_count, self.now) {
             _ if self.rule == Rule::FirstNoticed => self.send(attempt),
             AttemptPermission::Allowed => self.send(attempt),
             AttemptPermission::AwaitOthers => self.waiting.push(attempt),
--- a/crates/limpet-gateway/src/query/crash_risk.rs
+++ b/crates/limpet-gateway/src/query/crash_risk.rs
@@ -12,6 +12,13 @@
     AttemptPermission,
     CrashSuspect, //
 };
+use tokio::{
+    sync::Notify,
+    time::{
+        Instant,
+        sleep_until, //
+    },
+};
 
 use super::QueryContext;
 use crate::target::{
@@ -21,13 +28,21 @@
     Target, //
 };
 
+/// Fraction of the latency goal for which an attempt waits for those at other services. Without a limit, one silent target
+/// would hold up all parts of a suspected query.
+const OTHERS_GOAL_FRACTION: f64 = 0.25;
+
 /// Attempts of one run of a query that may crash their targets; empty until an attempt fails, or if the query has no
 /// strikes.
 #[derive(Debug, Default)]
 pub struct CrashRisk {
+    /// Whether a target has replied: a query that crashes targets crashes each of them.
+    is_cleared: AtomicBool,
     /// Set if an attempt failed; the flag tells whether a target has replied since.
     has_reply: OnceLock<Arc<AtomicBool>>,
     services: Mutex<Vec<ServiceRisk>>,
+    /// An attempt ended or got a reply.
+    changed: Notify,
 }
 
 /// Attempts at one service.
@@ -35,8 +50,24 @@
 struct ServiceRisk {
     service: Box<str>,
     in_flight_count: usize,
-    /// Targets of the attempts that ended without a valid reply.
-    failed_at: Vec<Arc<Target>>,
+    failures: Vec<Failure>,
+}
+
+/// An attempt that ended without a valid reply.
+#[derive(Debug)]
+struct Failure {
+    target: Arc<Target>,
+    has_crashed: Arc<AtomicBool>,
+}
+
+/// Attempts of a run that count for the permission of another one.
+#[derive(Debug, Default)]
+struct RiskCounts {
+    crashed: usize,
+    pending: usize,
+    in_flight: usize,
+    /// Target of an attempt whose check is running.
+    first_pending: Option<Arc<Target>>,
 }
 
 /// Counts an attempt as in flight until it is dropped.
@@ -47,9 +78,13 @@
 
 impl Drop for CountedAttempt<'_> {
     fn drop(&mut self) {
-        let mut services = self.query.crash_risk.services();
-        let risk = service_risk(&mut services, &self.target.service);
-        risk.in_flight_count = risk.in_flight_count.saturating_sub(1);
+        let crash_risk = &self.query.crash_risk;
+        {
+            let mut services = crash_risk.services();
+            let risk = service_risk(&mut services, &self.target.service);
+            risk.in_flight_count = risk.in_flight_count.saturating_sub(1);
+        }
+        crash_risk.changed.notify_waiters();
     }
 }
 
@@ -58,21 +93,28 @@
         self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that a target replied: a query that crashes targets crashes each of them.
+    /// Records that a target replied.
     pub(super) fn record_reply(&self) {
         if let Some(has_reply) = self.has_reply.get() {
             has_reply.store(true, Ordering::Relaxed);
         }
+        if !self.is_cleared.swap(true, Ordering::Relaxed) {
+            self.changed.notify_waiters();
+        }
     }
 
     /// Records an attempt of `query` without a valid reply.
     pub(super) fn record_failure(query: &QueryContext, target: &Arc<Target>) -> FailedAttempt {
         let crash_risk = &query.crash_risk;
         let has_reply = crash_risk.has_reply.get_or_init(Arc::default);
+        let has_crashed = Arc::default();
         let mut services = crash_risk.services();
         let risk = service_risk(&mut services, &target.service);
-        let earlier_failures = risk.failed_at.len();
-        risk.failed_at.push(Arc::clone(target));
+        let earlier_failures = risk.failures.len();
+        risk.failures.push(Failure {
+            target: Arc::clone(target),
+            has_crashed: Arc::clone(&has_crashed),
+        });
         FailedAttempt {
             suspect: CrashSuspect {
                 fingerprint: query.fingerprint,
@@ -81,45 +123,71 @@
             },
             request_id: query.request_id().into(),
             has_reply: Arc::clone(has_reply),
+            has_crashed,
+        }
+    }
+
+    /// Counts the attempts at `service`, or at all services if `counts_others` is set and no target has replied.
+    fn counts(&self, services: &[ServiceRisk], service: &str, counts_others: bool) -> RiskCounts {
+        let counts_others = counts_others && !self.is_cleared.load(Ordering::Relaxed);
+        let mut counts = RiskCounts::default();
+        let counted = services.iter();
+        for risk in counted.filter(|risk| counts_others || &*risk.service == service) {
+            counts.in_flight += risk.in_flight_count;
+            for failure in &risk.failures {
+                if failure.target.crash_watch.is_check_running() {
+                    counts.pending += 1;
+                    counts
+                        .first_pending
+                        .get_or_insert_with(|| Arc::clone(&failure.target));
+                } else {
+                    counts.crashed += usize::from(failure.has_crashed.load(Ordering::Relaxed));
+                }
+            }
         }
+        counts
     }
 }
 
 /// Waits until an attempt of `query` may be sent to `target`.
 ///
-/// An attempt that might crash one target too many waits for the checks that show whether the earlier ones crashed
-/// theirs, see [`attempt_permission`]. A query without strikes and failures never waits.
+/// An attempt that might crash one target too many waits for the earlier ones, and for the checks whether these crashed
+/// their targets, see [`attempt_permission`]. Those at other services count for a fraction of the goal and until one of
+/// them gets a reply. A query without strikes and failures never waits.
 ///
 /// [`attempt_permission`]: limpet_decide::quarantine::StrikeTable::attempt_permission
 ///
 /// # Errors
 ///
-/// Returns [`AttemptErrorKind::Suspected`] if the query is quarantined by then, or an attempt is in flight that may be the
-/// last one which it is allowed.
+/// Returns [`AttemptErrorKind::Suspected`] if the query is quarantined by then, its run has crashed as many targets as it may,
+/// or another attempt at the service is in flight that may be the last one.
 pub(super) async fn begin_attempt<'a>(
     query: &'a QueryContext,
     target: &Arc<Target>,
 ) -> Result<Option<CountedAttempt<'a>>, AttemptError> {
-    if query.known_strikes == 0 && query.crash_risk.has_reply.get().is_none() {
+    let crash_risk = &query.crash_risk;
+    if query.known_strikes == 0 && crash_risk.has_reply.get().is_none() {
         return Ok(None);
     }
+    let others_until = Instant::now() + query.route.latency_goal.mul_f64(OTHERS_GOAL_FRACTION);
     let suspected_error = |context| AttemptError::new(AttemptErrorKind::Suspected, context);
     loop {
-        let pending_target = {
-            let mut services = query.crash_risk.services();
-            let risk = service_risk(&mut services, &target.service);
-            let mut pending = risk
-                .failed_at
-                .iter()
-                .filter(|target| target.crash_watch.is_check_running());
-            let first_pending = pending.next().map(Arc::clone);
-            let pending_count = pending.count() + usize::from(first_pending.is_some());
+        let changed = crash_risk.changed.notified();
+        tokio::pin!(changed);
+        // An attempt may end before this one waits.
+        changed.as_mut().enable();
+        let counts = {
+            let mut services = crash_risk.services();
+            let counts =
+                crash_risk.counts(&services, &target.service, Instant::now() < others_until);
             // Read after the checks that run: a check that ends in between counts twice rather than not at all.
             let permission = query.shared.strike_table().attempt_permission(
                 query.fingerprint,
-                pending_count + risk.in_flight_count,
+                counts.crashed,
+                counts.pending + counts.in_flight,
                 query.shared.now(),
             );
+            let risk = service_risk(&mut services, &target.service);
             match permission {
                 AttemptPermission::Allowed => {
                     risk.in_flight_count += 1;
@@ -129,17 +197,30 @@
                 AttemptPermission::Refused => {
                     return Err(suspected_error("the query is quarantined"));
                 }
-                AttemptPermission::AwaitOthers => {}
+                AttemptPermission::AwaitOthers if risk.in_flight_count > 0 => {
+                    let context = "another attempt of the query may crash its target";
+                    return Err(suspected_error(context));
+                }
+                AttemptPermission::AwaitOthers => counts,
             }
-            first_pending
         };
-        match pending_target {
-            Some(target) => target.crash_watch.check_ended().await,
-            None => {
-                return Err(suspected_error(
-                    "another attempt of the query may crash its target",
-                ));
+        let awaits_others = Instant::now() < others_until;
+        let others_end = sleep_until(others_until);
+        match counts.first_pending {
+            Some(pending) => {
+                tokio::select! {
+                    () = pending.crash_watch.check_ended() => {}
+                    () = changed => {}
+                    () = others_end, if awaits_others => {}
+                }
+            }
+            None if counts.in_flight > 0 => {
+                tokio::select! {
+                    () = changed => {}
+                    () = others_end, if awaits_others => {}
+                }
             }
+            None => return Err(suspected_error("the run crashed too many targets")),
         }
     }
 }
@@ -151,7 +232,7 @@
         services.push(ServiceRisk {
             service: service.into(),
             in_flight_count: 0,
-            failed_at: Vec::new(),
+            failures: Vec::new(),
         });
         services.len() - 1
     });
--- a/crates/limpet-gateway/src/target/crash_watch.rs
+++ b/crates/limpet-gateway/src/target/crash_watch.rs
@@ -20,6 +20,8 @@
     pub request_id: Box<str>,
     /// Whether a target has replied to another attempt of the run since.
     pub has_reply: Arc<AtomicBool>,
+    /// Whether the attempt ended in a crash of its target; set before the check ends.
+    pub has_crashed: Arc<AtomicBool>,
 }
 
 /// A crash of a target that a check confirmed.
@@ -71,8 +73,10 @@
                 false => state.recorded.clone(),
             };
             if !is_listening {
-                let suspects = attempts.iter().map(|attempt| attempt.suspect);
-                state.recorded.extend(suspects);
+                for attempt in &attempts {
+                    attempt.has_crashed.store(true, Ordering::Relaxed);
+                    state.recorded.push(attempt.suspect);
+                }
             }
             ConfirmedCrash { attempts, recorded }
         };
--- a/crates/limpet-gateway/tests/quarantine.rs
+++ b/crates/limpet-gateway/tests/quarantine.rs
@@ -195,6 +195,78 @@
     assert_eq!(get(gateway.caller_addr, "/one/other").await.status, 200);
 }
 
+/// Guards against a scatter-gather query that crashes a target of each shard with each of its attempts. Those that are sent at
+/// the same time each cost a target; the retries and the next runs must not.
+#[tokio::test]
+async fn crashing_gather_is_refused_after_its_first_parts() {
+    const SHARDS: usize = 10;
+    let deployment = Deployment::new();
+    let names: Vec<String> = (0..SHARDS).map(|shard| format!("s{shard}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let gather = scatter_gather_route("/all/", &names, 1.0);
+    deployment.publish_config(config(1, vec![gather], &names));
+    let mut targets = Vec::new();
+    for name in &names {
+        for number in 0..4 {
+            let target = FakeTarget::start(|_, request| match request.line.contains("poison") {
+                true => Behaviour::Crash,
+                false => Behaviour::Answer(200, b"", Duration::from_millis(10)),
+            })
+            .await;
+            let id = format!("{name}-{number}");
+            deployment.publish_target(&id, target_record(name, target.addr));
+            targets.push(target);
+        }
+    }
+    let gateway = RunningGateway::start(&deployment).await;
+    assert_eq!(get(gateway.caller_addr, "/all/other").await.status, 200);
+    let mut statuses = Vec::new();
+    for _ in 0..4 {
+        statuses.push(get(gateway.caller_addr, "/all/poison").await.status);
+        sleep(CRASH_CHECK_WAIT).await;
+    }
+    let crashed_count = crashed_count(&targets);
+    assert!(
+        crashed_count <= SHARDS + 4,
+        "{crashed_count} targets crashed"
+    );
+    assert_eq!(statuses[3], 503);
+    assert_eq!(get(gateway.caller_addr, "/all/other").await.status, 200);
+}
+
+/// Guards against a scatter-gather query with a strike whose parts all wait for one that a silent target holds.
+#[tokio::test]
+async fn suspected_gather_is_served_despite_silent_targets() {
+    let names = ["s0", "s1", "s2", "s3", "s4"];
+    let deployment = Deployment::new();
+    let mut gather = scatter_gather_route("/all/", &names, 0.6);
+    gather.attempts_max = 1;
+    deployment.publish_config(config(1, vec![gather], &names));
+    let mut targets = Vec::new();
+    for name in names {
+        let target = FakeTarget::always(Behaviour::Crash).await;
+        deployment.publish_target(
+            &format!("crashing-{name}"),
+            target_record(name, target.addr),
+        );
+        targets.push(target);
+    }
+    let gateway = RunningGateway::start(&deployment).await;
+    assert_eq!(get(gateway.caller_addr, "/all/q").await.status, 502);
+    sleep(CRASH_CHECK_WAIT).await;
+    for (index, name) in names.into_iter().enumerate() {
+        let behaviour = match index {
+            0 | 1 => Behaviour::Silent,
+            _ => Behaviour::Answer(200, b"", Duration::ZERO),
+        };
+        let target = FakeTarget::always(behaviour).await;
+        deployment.publish_target(&format!("new-{name}"), target_record(name, target.addr));
+        targets.push(target);
+    }
+    sleep(CRASH_CHECK_WAIT).await;
+    assert_eq!(get(gateway.caller_addr, "/all/q").await.status, 200);
+}
+
 /// Guards against refusing a popular query everywhere because copies of it were in flight on targets that crashed, one of
 /// them or several at once, once or again later.
 async fn popular_query_survives_crashes(crashing_count: usize) {
