--- a/crates/limpet-gateway/tests/slow_readers.rs
+++ b/crates/limpet-gateway/tests/slow_readers.rs
@@ -4,6 +4,13 @@
 
 use std::time::Duration;
 
+use limpet_types::{
+    codec,
+    message::{
+        GatherRequest,
+        PeerRequest, //
+    },
+};
 use support::{
     IDLE_TIMEOUT,
     LARGE_ANSWER_BYTES,
@@ -76,6 +83,40 @@
     assert!(started.elapsed() > IDLE_TIMEOUT * 2, "not slow enough");
 }
 
+/// Guards against replies of an aggregator that a suspended process does not read, and that count towards nothing.
+#[tokio::test]
+async fn reply_that_another_process_does_not_read_is_counted() {
+    // Memory for one such answer.
+    let (gateway, _targets) = start_large_answer_gateway(11 << 20).await;
+    let stream = TcpStream::connect(gateway.peer_addr).await.unwrap();
+    let (mut sender, connection) = h2::client::handshake(stream).await.unwrap();
+    let driver = tokio::spawn(connection);
+    let (response, mut body) = sender.send_request(http::Request::new(()), false).unwrap();
+    let request = PeerRequest::Gather(Box::new(GatherRequest {
+        config_version: 1,
+        route: "/merged/".into(),
+        method: "GET".into(),
+        uri: "/merged/a".into(),
+        headers: vec![("t-id".into(), b"r".to_vec())],
+        body: Vec::new(),
+        request_id: b"r".to_vec(),
+        fingerprint: 1,
+        waited: Duration::ZERO,
+        time_left: Duration::from_secs(2),
+    }));
+    let request = codec::encode(&request).unwrap();
+    body.send_data(request.into(), true).unwrap();
+    // Not reading keeps the flow-control window closed.
+    let unread = response.await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    let addr = gateway.caller_addr;
+    assert_eq!(get(addr, "/merged/a").await.status, 502, "not counted");
+    drop((unread, body, sender));
+    driver.abort();
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(get(addr, "/merged/a").await.status, 200, "not released");
+}
+
 /// Guards against clients of the admin port that read nothing and together hold any number of answers.
 #[tokio::test]
 async fn admin_connections_are_limited() {
