--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -23,7 +23,6 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
-use limpet_decide::quarantine::Restriction;
 use limpet_types::deployment::Destination;
 use tokio::time::{
     Instant,
@@ -37,6 +36,8 @@
         receive_body, //
     },
     query::{
+        Answer,
+        CrashRisk,
         Outcome,
         QueryContext,
         RequestError,
@@ -171,7 +172,30 @@
         Destination::Split(split) => run_split(Arc::clone(&query), split).await,
         Destination::ScatterGather(gather) => run_placed_gather(Arc::clone(&query), gather).await,
     };
-    outcome.map_err(|error| complete_error(&query, error))
+    outcome
+        .map_err(|error| complete_error(&query, error))
+        .and_then(|answer| reserve_answer(shared, answer))
+}
+
+/// Reserves the memory of a merged answer until it is sent; that of a reply was reserved when it arrived.
+fn reserve_answer(shared: &SharedState, answer: Answer) -> Outcome {
+    match answer {
+        Answer::Gathered {
+            signatures,
+            missing_count,
+            body,
+        } => {
+            let no_memory_error =
+                |_: BodyError| RequestError::may_have_run(RequestErrorKind::NoMemory);
+            let body = shared.body_memory.reserve(body).map_err(no_memory_error)?;
+            Ok(Answer::Gathered {
+                signatures,
+                missing_count,
+                body,
+            })
+        }
+        Answer::Reply(reply) => Ok(Answer::Reply(reply)),
+    }
 }
 
 /// Returns the timeout that the caller sent, if any.
@@ -266,15 +290,15 @@
         request_id,
     };
     let fingerprint = request_fingerprint(&request, host, team.as_deref());
-    let (restriction, known_strikes) = {
+    let (is_quarantined, known_strikes) = {
         let strike_table = shared.strike_table();
         let now = shared.now();
         (
-            strike_table.restriction(fingerprint, now),
-            strike_table.strike_count(fingerprint, now),
+            strike_table.is_query_quarantined(fingerprint, now),
+            strike_table.known_strikes(fingerprint, now),
         )
     };
-    if restriction == Restriction::Quarantined {
+    if is_quarantined {
         return Err(RequestError::not_run(RequestErrorKind::Quarantined));
     }
     let caller_waited = caller_timeout.map_or(Duration::ZERO, |caller_timeout| {
@@ -310,6 +334,7 @@
         known_strikes,
         aggregator_count: None,
         run_statistics: RunStatistics::default(),
+        crash_risk: CrashRisk::default(),
     })
 }
 
--- a/crates/limpet-gateway/src/frontend/server.rs
+++ b/crates/limpet-gateway/src/frontend/server.rs
@@ -32,7 +32,13 @@
 };
 
 use super::handler::handle_request;
-use crate::shared_state::SharedState;
+use crate::{
+    shared_state::SharedState,
+    slow_reader::{
+        is_stalled,
+        limit_sends, //
+    },
+};
 
 /// Delay after a failed accept, which keeps the loop from spinning.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -53,6 +59,8 @@
 enum Stage {
     Serving,
     Closing,
+    /// Connections that are still open are closed without an answer.
+    Aborting,
 }
 
 /// A running server for callers.
@@ -85,7 +93,8 @@
         self.shared.shutdown.cancel_requests();
         if timeout_at(close_at, &mut accept_task).await.is_err() {
             tracing::warn!("connections closed without an answer at shutdown");
-            accept_task.abort();
+            let _ = self.stage_sender.send(Stage::Aborting);
+            let _ = accept_task.await;
         }
     }
 }
@@ -158,7 +167,13 @@
         connections.spawn(serve_connection_guarded(stream, &shared, &stage_receiver));
     }
     drop(listener);
-    while connections.join_next().await.is_some() {}
+    let end_connections = async { while connections.join_next().await.is_some() {} };
+    tokio::select! {
+        () = end_connections => {}
+        // Fails if the server was dropped: then nobody waits for the connections.
+        Ok(_) = stage_receiver.wait_for(|stage| *stage == Stage::Aborting) => {}
+    }
+    connections.shutdown().await;
 }
 
 /// Serves the requests of one connection and counts it as open meanwhile.
@@ -181,10 +196,6 @@
     shared: Arc<SharedState>,
     mut stage_receiver: watch::Receiver<Stage>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(%error, "caller connection ended before its first request");
-        return;
-    }
     let (head_max_bytes, idle_timeout) = {
         let route_table = shared.route_table.load();
         route_table.as_ref().map_or(
@@ -195,12 +206,22 @@
             },
         )
     };
+    let stream = stream
+        .set_nodelay(true)
+        .and_then(|()| limit_sends(stream, idle_timeout));
+    let stream = match stream {
+        Ok(stream) => stream,
+        Err(error) => {
+            tracing::debug!(%error, "caller connection ended before its first request");
+            return;
+        }
+    };
     let service_shared = Arc::clone(&shared);
     let service = service_fn(move |request| {
         let shared = Arc::clone(&service_shared);
         async move { Ok::<_, Infallible>(handle_request(shared, request).await) }
     });
-    let is_closing = *stage_receiver.borrow() == Stage::Closing;
+    let is_closing = *stage_receiver.borrow() != Stage::Serving;
     let idle_timeout = match is_closing {
         true => idle_timeout.min(FINAL_IDLE_TIMEOUT),
         false => idle_timeout,
@@ -215,17 +236,25 @@
     if !is_closing {
         tokio::select! {
             result = connection.as_mut() => {
-                if let Err(error) = result {
-                    tracing::debug!(%error, "caller connection ended");
-                }
+                log_end(result);
                 return;
             }
             // The sender is dropped only after the server has closed.
-            _ = stage_receiver.wait_for(|stage| *stage == Stage::Closing) => {}
+            _ = stage_receiver.wait_for(|stage| *stage != Stage::Serving) => {}
         }
         connection.as_mut().graceful_shutdown();
     }
-    if let Err(error) = connection.await {
-        tracing::debug!(%error, "caller connection ended");
+    log_end(connection.await);
+}
+
+/// Logs the end of a connection, and counts it if its caller read nothing.
+fn log_end(result: hyper::Result<()>) {
+    match result {
+        Ok(()) => {}
+        Err(error) if is_stalled(&error) => {
+            tracing::info!("caller connection closed, because the caller reads nothing");
+            metrics::counter!("limpet_stalled_readers_total", "server" => "callers").increment(1);
+        }
+        Err(error) => tracing::debug!(%error, "caller connection ended"),
     }
 }
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -12,8 +12,12 @@
     FutureExt, //
 };
 use limpet_decide::shutdown::StopSchedule;
-use limpet_peer::PeerServer;
+use limpet_peer::{
+    GuardedReply,
+    PeerServer, //
+};
 use limpet_types::message::{
+    GatherReply,
     PeerReply,
     PeerRequest, //
 };
@@ -57,6 +61,10 @@
 /// One in this many maintenance rounds also closes expired connections and updates gauges, which costs more.
 const ROUNDS_PER_FULL_MAINTENANCE: u32 = 8;
 
+/// Longest time at the end of a stop for which connections of other processes may still send what is ready. Followers wait
+/// for changes on theirs for longer.
+const PEER_CLOSE_TIME: Duration = Duration::from_millis(50);
+
 /// Why a gateway cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum GatewayError {
@@ -156,8 +164,13 @@
     }
     gossip.announce_leave().await;
     tasks.shutdown().await;
-    drop(peer_server);
-    shared.stop_background_tasks().await;
+    let peer_close_at = Instant::now() + PEER_CLOSE_TIME;
+    peer_server
+        .stop_by(peer_close_at.min(stop_started + schedule.close_at()))
+        .await;
+    shared.peer_client.close().await;
+    // The last ones: connections to targets belong to them, and ending requests may have started some.
+    shared.background_tasks.stop().await;
     tracing::info!(
         took_ms = stop_started.elapsed().as_millis(),
         "gateway stopped"
@@ -186,17 +199,39 @@
         async move {
             match request {
                 PeerRequest::Follow(request) => {
-                    PeerReply::Follow(serve_follower(&shared, request).await)
+                    PeerReply::Follow(serve_follower(&shared, request).await).into()
                 }
                 PeerRequest::Gather(request) => {
-                    PeerReply::Gather(serve_aggregation(&shared, *request).await)
+                    reserve_reply(&shared, serve_aggregation(&shared, *request).await)
                 }
-                _ => PeerReply::Unsupported,
+                _ => PeerReply::Unsupported.into(),
             }
         }
     })
 }
 
+/// Reserves the memory of a merged answer until the process that asked for it has got it.
+fn reserve_reply(shared: &SharedState, reply: GatherReply) -> GuardedReply {
+    let size_bytes = match &reply {
+        GatherReply::Gathered { body, .. } => body.len(),
+        _ => 0,
+    };
+    let mut reservation = shared.body_memory.reservation();
+    if !reservation.try_extend(size_bytes) {
+        metrics::counter!("limpet_bodies_dropped_total").increment(1);
+        // The query has run.
+        return PeerReply::Gather(GatherReply::Failed {
+            is_timed_out: false,
+            is_not_run: false,
+        })
+        .into();
+    }
+    GuardedReply {
+        reply: PeerReply::Gather(reply),
+        guard: Some(Box::new(reservation)),
+    }
+}
+
 /// Replaces the seeds of the membership after each reload of the settings.
 async fn apply_seed_updates(
     shared: Arc<SharedState>,
--- a/crates/limpet-gateway/src/lib.rs
+++ b/crates/limpet-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod aggregation_slots;
+pub mod background_tasks;
 pub mod clock;
 pub mod deployment_state;
 pub mod frontend;
@@ -22,6 +23,7 @@
 pub mod settings;
 pub mod shared_state;
 pub mod shutdown_state;
+mod slow_reader;
 pub mod source;
 pub mod state_updater;
 pub mod target;
--- a/crates/limpet-gateway/tests/connection_limit.rs
+++ b/crates/limpet-gateway/tests/connection_limit.rs
@@ -18,6 +18,7 @@
     SharedState,
     deployment_state::DeploymentState,
     query::{
+        CrashRisk,
         Outcome,
         QueryContext,
         RunStatistics,
@@ -171,6 +172,7 @@
         known_strikes: 0,
         aggregator_count: None,
         run_statistics: RunStatistics::default(),
+        crash_risk: CrashRisk::default(),
     }
 }
 
--- a/crates/limpet-peer/src/server.rs
+++ b/crates/limpet-peer/src/server.rs
@@ -20,13 +20,7 @@
     Request,
     Response, //
 };
-use limpet_types::{
-    codec,
-    message::{
-        PeerReply,
-        PeerRequest, //
-    },
-};
+use limpet_types::{codec, message::PeerRequest};
 use tokio::{
     net::{
         TcpListener,
@@ -37,9 +31,14 @@
         JoinHandle,
         JoinSet, //
     },
+    time::{
+        Instant,
+        timeout_at, //
+    },
 };
 
 use crate::{
+    GuardedReply,
     body::{
         read_body,
         write_body, //
@@ -55,10 +54,20 @@
 /// Initial flow-control window of a stream; the window of a connection is four times as large.
 const STREAM_WINDOW_BYTES: u32 = 2 << 20;
 
+/// How far a server has stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Serving,
+    /// No new connections and streams are accepted; those that are open finish.
+    Draining,
+    /// Connections and streams are closed.
+    Aborting,
+}
+
 /// Handle of a running server.
 #[derive(Debug)]
 pub struct PeerServer {
-    stop_sender: watch::Sender<bool>,
+    stage_sender: watch::Sender<Stage>,
     accept_task: JoinHandle<()>,
     local_addr: Option<SocketAddr>,
 }
@@ -73,37 +82,54 @@
     /// Stops accepting connections and streams, and waits until the streams in flight have finished and
     /// all tasks have ended.
     pub async fn stop(self) {
-        let _ = self.stop_sender.send(true);
+        let _ = self.stage_sender.send(Stage::Draining);
         let _ = self.accept_task.await;
     }
+
+    /// Works as [`PeerServer::stop`], but closes what is still open at `close_at`.
+    pub async fn stop_by(self, close_at: Instant) {
+        let _ = self.stage_sender.send(Stage::Draining);
+        let mut accept_task = self.accept_task;
+        if timeout_at(close_at, &mut accept_task).await.is_err() {
+            let _ = self.stage_sender.send(Stage::Aborting);
+            let _ = accept_task.await;
+        }
+    }
 }
 
 /// Serves peers on `listener` until [`PeerServer::stop`] is called or the returned handle is dropped.
 ///
-/// `handler` is called once for each request; its future is dropped if the peer resets the stream.
-pub fn serve<H, F>(listener: TcpListener, handler: H) -> PeerServer
+/// `handler` is called once for each request; its future is dropped if the peer resets the stream. It returns a
+/// [`PeerReply`](limpet_types::message::PeerReply), or a [`GuardedReply`].
+pub fn serve<H, F, R>(listener: TcpListener, handler: H) -> PeerServer
 where
     H: Fn(PeerRequest) -> F + Send + Sync + 'static,
-    F: Future<Output = PeerReply> + Send + 'static,
+    F: Future<Output = R> + Send + 'static,
+    R: Into<GuardedReply> + Send + 'static,
 {
     let local_addr = listener.local_addr().ok();
-    let (stop_sender, stop_signal) = watch::channel(false);
-    let accept_task = tokio::spawn(accept_connections(listener, Arc::new(handler), stop_signal));
+    let (stage_sender, stage_receiver) = watch::channel(Stage::Serving);
+    let accept_task = tokio::spawn(accept_connections(
+        listener,
+        Arc::new(handler),
+        stage_receiver,
+    ));
     PeerServer {
-        stop_sender,
+        stage_sender,
         accept_task,
         local_addr,
     }
 }
 
 /// Accepts connections until the server stops, then waits for the open ones to close.
-async fn accept_connections<H, F>(
+async fn accept_connections<H, F, R>(
     listener: TcpListener,
     handler: Arc<H>,
-    mut stop_signal: watch::Receiver<bool>,
+    mut stage_receiver: watch::Receiver<Stage>,
 ) where
     H: Fn(PeerRequest) -> F + Send + Sync + 'static,
-    F: Future<Output = PeerReply> + Send + 'static,
+    F: Future<Output = R> + Send + 'static,
+    R: Into<GuardedReply> + Send + 'static,
 {
     let mut connections = JoinSet::new();
     loop {
@@ -113,7 +139,7 @@
                     connections.spawn(serve_connection(
                         stream,
                         Arc::clone(&handler),
-                        stop_signal.clone(),
+                        stage_receiver.clone(),
                     ));
                 }
                 Err(error) => {
@@ -122,10 +148,11 @@
                 }
             },
             Some(_) = connections.join_next() => {}
-            _ = stop_signal.changed() => break,
+            _ = stage_receiver.changed() => break,
         }
     }
     drop(listener);
+    // The connections end by themselves, also when they are to be closed: each joins its streams.
     while connections.join_next().await.is_some() {}
 }
 
@@ -133,13 +160,14 @@
 ///
 /// When the server stops, the connection accepts no further streams and closes after the streams in flight
 /// have finished.
-async fn serve_connection<H, F>(
+async fn serve_connection<H, F, R>(
     stream: TcpStream,
     handler: Arc<H>,
-    mut stop_signal: watch::Receiver<bool>,
+    mut stage_receiver: watch::Receiver<Stage>,
 ) where
     H: Fn(PeerRequest) -> F + Send + Sync + 'static,
-    F: Future<Output = PeerReply> + Send + 'static,
+    F: Future<Output = R> + Send + 'static,
+    R: Into<GuardedReply> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
     let handshake = h2::server::Builder::new()
@@ -147,7 +175,20 @@
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(STREAM_WINDOW_BYTES * 4)
         .handshake(stream);
-    let mut connection = match handshake.await {
+    let mut abort_receiver = stage_receiver.clone();
+    let aborted = async move {
+        let abort = abort_receiver.wait_for(|stage| *stage == Stage::Aborting);
+        if abort.await.is_err() {
+            // The handle was dropped: the connection ends with its streams.
+            std::future::pending::<()>().await;
+        }
+    };
+    tokio::pin!(aborted);
+    let handshake = tokio::select! {
+        result = handshake => result,
+        () = &mut aborted => return,
+    };
+    let mut connection = match handshake {
         Ok(connection) => connection,
         Err(error) => {
             tracing::debug!(%error, "peer handshake failed");
@@ -169,10 +210,11 @@
                 None => break,
             },
             Some(_) = streams.join_next() => {}
-            _ = stop_signal.changed(), if !is_stopping => {
+            _ = stage_receiver.changed(), if !is_stopping => {
                 is_stopping = true;
                 connection.graceful_shutdown();
             }
+            () = &mut aborted => break,
         }
     }
     streams.shutdown().await;
@@ -182,13 +224,14 @@
 ///
 /// Resets the stream if the request cannot be decoded, and drops the handler's future if the peer resets
 /// the stream.
-async fn serve_stream<H, F>(
+async fn serve_stream<H, F, R>(
     request: Request<RecvStream>,
     mut responder: SendResponse<Bytes>,
     handler: Arc<H>,
 ) where
     H: Fn(PeerRequest) -> F,
-    F: Future<Output = PeerReply>,
+    F: Future<Output = R>,
+    R: Into<GuardedReply>,
 {
     // Tells the peer that this process reacts, before the peer sends a request that it would not know the fate of.
     let Ok(mut stream) = responder.send_response(Response::new(()), false) else {
@@ -211,19 +254,25 @@
         _ = poll_fn(|cx| stream.poll_reset(cx)) => return,
         reply = handler(request) => reply,
     };
-    if let Err(error) = send_reply(&mut stream, &reply).await {
+    if let Err(error) = send_reply(&mut stream, reply.into()).await {
         tracing::debug!(%error, "failed to send a reply to a peer");
     }
 }
 
 /// Sends a reply, or resets the stream if the reply cannot be encoded.
-async fn send_reply(stream: &mut SendStream<Bytes>, reply: &PeerReply) -> Result<(), h2::Error> {
-    let Ok(body) = codec::encode(reply) else {
+async fn send_reply(stream: &mut SendStream<Bytes>, reply: GuardedReply) -> Result<(), h2::Error> {
+    let GuardedReply { reply, guard } = reply;
+    let Ok(body) = codec::encode(&reply) else {
         stream.send_reset(h2::Reason::INTERNAL_ERROR);
         return Ok(());
     };
+    let kind = message_metrics::reply_kind(&reply);
+    // The reader may be slow; only the encoded reply is kept meanwhile.
+    drop(reply);
     let size_bytes = body.len();
-    write_body(stream, body.into()).await?;
-    message_metrics::record_sent(message_metrics::reply_kind(reply), size_bytes);
+    let result = write_body(stream, body.into()).await;
+    drop(guard);
+    result?;
+    message_metrics::record_sent(kind, size_bytes);
     Ok(())
 }
