--- a/crates/limpet-gateway/src/target/mod.rs
+++ b/crates/limpet-gateway/src/target/mod.rs
@@ -9,7 +9,6 @@
 mod one_target;
 mod room_notifier;
 mod service_load;
-mod target_health;
 mod target_reply;
 
 pub use self::{
@@ -43,6 +42,5 @@
         RoomNotifier,
         ServiceRoom, //
     },
-    target_health::TargetHealth,
     target_reply::TargetReply, //
 };
