--- a/crates/limpet-decide/tests/peer_load_work.rs
+++ b/crates/limpet-decide/tests/peer_load_work.rs
@@ -53,6 +53,7 @@
             in_flight: 1,
             requests_per_10_s: 3,
             rejected_255ths: 0,
+            mean_in_flight_1000ths: 0,
         }],
     }
 }
