--- a/crates/limpet-decide/tests/load_report_work.rs
+++ b/crates/limpet-decide/tests/load_report_work.rs
@@ -42,7 +42,7 @@
                 tracker.record_request(service, at(now_ms));
                 tracker.record_send(target, at(now_ms));
             }
-            _ => tracker.record_end(target),
+            _ => tracker.record_end(target, at(now_ms)),
         }
         if now_ms % 150 == 0 {
             tracker.set_gathers(gathers_at(now_ms));
