Bound what a target may send before the head of its reply

Cause: the largest head bounds one head, but a target that sends interim replies (1xx) without end sends complete small ones. The process read and decoded them until the deadline of the request, and its other requests hardly got the processor. Soak with endless heads of targets: two answers took 2.11 s of 2 s allowed, the log of the process has gaps of 0.8 and 0.9 s. Change: a connection to a target fails when more than twice the largest head arrives before a head is complete.

--- a/crates/limpet-gateway/src/target/connection.rs
+++ b/crates/limpet-gateway/src/target/connection.rs
@@ -31,9 +31,11 @@
 };
 
 use super::{
-    AttemptError,
-    AttemptErrorKind,
-    TargetReply, //
+    AttemptError, AttemptErrorKind, TargetReply,
+    head_limit::{
+        HeadLimit,
+        HeadLimitedStream, //
+    },
 };
 use crate::memory::{
     BodyMemory,
@@ -42,6 +44,9 @@
 
 /// Largest head of a reply. A target in trouble may send one without end.
 const HEAD_MAX_BYTES: usize = 64 << 10;
+/// Most bytes that are read before the head of a reply is complete, interim replies included: the largest head, and the
+/// begin of the body that the same read returns.
+const HEAD_READ_MAX_BYTES: usize = 2 * HEAD_MAX_BYTES;
 /// Idle time after which a connection is not reused if the target sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Subtracted from the target's `Keep-Alive` timeout, so that no request is sent while the target closes the
@@ -86,6 +91,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: Arc<HeadLimit>,
     idle_timeout: Duration,
     /// End of the latest request, or the time at which the connection was opened.
     idle_since: Instant,
@@ -111,6 +117,8 @@
         stream
             .set_nodelay(true)
             .map_err(|error| unreachable_error(&error))?;
+        let head_limit = HeadLimit::new();
+        let stream = HeadLimitedStream::new(stream, Arc::clone(&head_limit));
         let handshake = Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake(TokioIo::new(stream));
@@ -122,6 +130,7 @@
         });
         Ok(Self {
             sender,
+            head_limit,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             idle_since: Instant::now(),
             is_reused: false,
@@ -163,7 +172,9 @@
         ready_result
             .map_err(timeout_error)?
             .map_err(|error| AttemptError::new(AttemptErrorKind::Unreachable, error))?;
+        self.head_limit.expect_head(HEAD_READ_MAX_BYTES);
         let response = timeout_at(deadline, self.sender.try_send_request(request)).await;
+        self.head_limit.record_head();
         let response = response.map_err(timeout_error)?.map_err(|mut error| {
             let is_sent = error.take_message().is_none();
             let kind = match is_sent {
--- a/crates/limpet-gateway/src/target/mod.rs
+++ b/crates/limpet-gateway/src/target/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod connection_pool;
 mod fleet;
+mod head_limit;
 mod one_target;
 mod room_notifier;
 mod target_health;
--- a/crates/limpet-gateway/tests/odd_replies.rs
+++ b/crates/limpet-gateway/tests/odd_replies.rs
@@ -124,10 +124,24 @@
 // Guards against a request that is lost to a reply without end.
 endless_reply_tests! {
     endless_head => Behaviour::EndlessHead;
+    endless_interim_replies => Behaviour::EndlessInterimReplies;
     endless_body => Behaviour::EndlessBody(Duration::ZERO);
     trickling_body => Behaviour::EndlessBody(Duration::from_millis(20));
 }
 
+/// Guards against a process that reads, and decodes, interim replies until the deadline of the request: other requests
+/// of the process would hardly get the processor.
+#[tokio::test]
+async fn endless_interim_replies_end_the_attempt_at_once() {
+    let target = FakeTarget::always(Behaviour::EndlessInterimReplies).await;
+    let gateway = start_gateway(&[&[&target]]).await;
+    let started = Instant::now();
+    let status = get(gateway.caller_addr, "/s0/a").await.status;
+    assert_eq!(status, 502);
+    // The route has a timeout of 2 s.
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
+
 /// Returns the memory that this process holds, in bytes.
 fn resident_bytes() -> usize {
     let statm = std::fs::read_to_string("/proc/self/statm").unwrap();
--- a/crates/limpet-gateway/tests/support/target.rs
+++ b/crates/limpet-gateway/tests/support/target.rs
@@ -65,6 +65,8 @@
     Twice(Duration, bool),
     /// Sends a head without end.
     EndlessHead,
+    /// Sends interim replies without end.
+    EndlessInterimReplies,
     /// Sends the head of a signed response and then a body without end, with these pauses.
     EndlessBody(Duration),
 }
@@ -225,6 +227,11 @@
                 .await;
                 return;
             }
+            Behaviour::EndlessInterimReplies => {
+                let interim_replies = b"HTTP/1.1 103 Early Hints\r\n\r\n".repeat(512);
+                send_without_end(&mut stream, b"", &interim_replies, Duration::ZERO).await;
+                return;
+            }
             Behaviour::EndlessBody(pause) => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-signature: sig\r\ntransfer-encoding: chunked\r\n\r\n"
