Pass a datagram on once, also if it has several relay markers

Cause: a process that gets a datagram with the relay marker passes the rest on to the other processes of its zone. If the rest begins with the marker again, each receiver does so too: one datagram with n markers is sent again in n steps, in each step by every receiver to all others of its zone. Change: a datagram whose rest begins with the marker is not passed on. No process sends such a one. Evidence: odd_input.rs datagram_is_passed_on_once failed before (the neighbour got the rest with its marker); all 6 cases of the file pass.

--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -153,7 +153,8 @@
     async fn handle_received(&self, datagram: &[u8], from: SocketAddr) {
         let relayed = datagram.strip_prefix(&[RELAY_MARKER]);
         let new_addr = self.handle_datagram(relayed.unwrap_or(datagram), from);
-        if let Some(bytes) = relayed {
+        // One with a second marker would be passed on by each receiver again, to all others of the zone.
+        if let Some(bytes) = relayed.filter(|bytes| !bytes.starts_with(&[RELAY_MARKER])) {
             self.relay(bytes, from).await;
         }
         if let Some(new_addr) = new_addr.filter(|_| self.should_welcome()) {
--- a/crates/limpet-gateway/tests/odd_input.rs
+++ b/crates/limpet-gateway/tests/odd_input.rs
@@ -187,6 +187,56 @@
     check_still_serves(&gateway).await;
 }
 
+/// Guards against a datagram with several marks to pass it on, which processes of a zone would pass to each other, each
+/// time to all, until no mark is left.
+#[tokio::test]
+async fn datagram_is_passed_on_once() {
+    let (gateway, _target) = start_gateway().await;
+    let neighbour = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let neighbour_addr = neighbour.local_addr().unwrap();
+    let report = Report {
+        node: 7,
+        addr: neighbour_addr,
+        is_leaving: false,
+        admissions: AdmissionCounts {
+            is_complete: true,
+            teams: Vec::new(),
+        },
+        welcome: None,
+        known_addrs: Vec::new(),
+        strikes: Vec::new(),
+    };
+    let announcement = Announcement {
+        addr: neighbour_addr,
+        zone: "zone-a".into(),
+        capacity_cores: 1.0,
+    };
+    let datagrams = [
+        codec::encode(&report).unwrap(),
+        announcement.encode().unwrap(),
+    ];
+    for datagram in datagrams {
+        neighbour
+            .send_to(&datagram, gateway.peer_addr)
+            .await
+            .unwrap();
+    }
+    sleep(Duration::from_millis(100)).await;
+    let sender = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for datagram in [&b"\xfe\xfemarked twice"[..], &b"\xfemarked once"[..]] {
+        sender.send_to(datagram, gateway.peer_addr).await.unwrap();
+    }
+    let mut passed_on = Vec::new();
+    let mut buffer = vec![0; 16 << 10];
+    while !passed_on.ends_with(&[b"marked once".to_vec()]) {
+        let received = timeout(Duration::from_secs(2), neighbour.recv(&mut buffer)).await;
+        let size = received.expect("nothing was passed on").unwrap();
+        passed_on.push(buffer[..size].to_vec());
+    }
+    let is_marked = |datagram: &&Vec<u8>| datagram.starts_with(b"\xfe");
+    assert_eq!(passed_on.iter().find(is_marked), None);
+}
+
 /// Guards against bytes that are no request, on any port, that end the process or hold up other callers.
 #[tokio::test]
 async fn odd_streams_do_no_harm() {
