Repeat no request on the connection on which it was rejected

Cause: a rejected attempt leaves its connection in the pool, and the target may be asked again for the same request. A late copy of the rejection then carries the right id: the gateway took it for the rejection of the second attempt, told the caller that the request did not run (503), and the target ran it. With more targets an at-most-once request would run twice. Change: the connection keeps the id of the request that it rejected; a request with this id takes another connection, and closes that one if it is the only one. Ids of other replies are not kept, since a copy of them promises nothing that is untrue. Not covered: a copy that arrives only after another request was served on the same connection.

--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -255,7 +255,7 @@
     target: &Arc<Target>,
     connections_limit: usize,
 ) -> Result<(Connection, ConnectionReservation), AttemptError> {
-    let idle = target.pool().take_idle();
+    let idle = target.pool().take_idle(&query.request.request_id);
     if let Some(connection) = idle {
         return Ok((connection, ConnectionReservation(Some(Arc::clone(target)))));
     }
@@ -324,8 +324,11 @@
             context,
         ));
     }
-    if let Some(connection) = reusable.filter(|_| !target.is_leaving()) {
+    let is_wrong_target = reply.status == http::StatusCode::MISDIRECTED_REQUEST;
+    let is_not_run = is_wrong_target || reply.headers.contains_key(&header_names.not_run);
+    if let Some(mut connection) = reusable.filter(|_| !target.is_leaving()) {
         query.shared.record_idle_timeout(connection.idle_timeout());
+        connection.record_rejection(is_not_run.then(|| query.request.request_id.clone()));
         reservation.return_to_pool(connection);
     }
     if let Some(cold_left_ms) = parse_numeric_header(&reply, &header_names.cold_ms) {
@@ -334,11 +337,11 @@
             .cold_rate_limiter()
             .set_cold(Duration::from_millis(cold_left_ms), now);
     }
-    if reply.status == http::StatusCode::MISDIRECTED_REQUEST {
+    if is_wrong_target {
         let context = "the address belongs to another target";
         return Err(AttemptError::new(AttemptErrorKind::WrongTarget, context));
     }
-    if reply.headers.contains_key(&header_names.not_run) {
+    if is_not_run {
         return Err(AttemptError::new(AttemptErrorKind::NotRun, reply.status));
     }
     // A caller would take the status as a promise and repeat the request.
--- a/crates/limpet-gateway/src/target/connection.rs
+++ b/crates/limpet-gateway/src/target/connection.rs
@@ -96,6 +96,8 @@
     /// End of the latest request, or the time at which the connection was opened.
     idle_since: Instant,
     is_reused: bool,
+    /// Id of the latest request, if its reply said that it did not run.
+    rejected_request_id: Option<HeaderValue>,
     _task: ConnectionTask,
 }
 
@@ -134,6 +136,7 @@
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             idle_since: Instant::now(),
             is_reused: false,
+            rejected_request_id: None,
             _task: ConnectionTask(task),
         })
     }
@@ -153,6 +156,17 @@
         self.is_reused
     }
 
+    /// Records the id of the latest request if its reply said that it did not run, else `None`.
+    pub fn record_rejection(&mut self, request_id: Option<HeaderValue>) {
+        self.rejected_request_id = request_id;
+    }
+
+    /// Returns whether the latest request had this id and did not run: a late copy of the reply would be taken for the
+    /// reply to another attempt of that request, which then runs although its caller is told that it did not.
+    pub fn has_rejected(&self, request_id: &HeaderValue) -> bool {
+        self.rejected_request_id.as_ref() == Some(request_id)
+    }
+
     /// Sends a request and reads the whole reply.
     ///
     /// Returns the connection with the reply if it can carry another request.
--- a/crates/limpet-gateway/src/target/connection_pool.rs
+++ b/crates/limpet-gateway/src/target/connection_pool.rs
@@ -1,5 +1,7 @@
 //! Connection pool of one target.
 
+use http::HeaderValue;
+
 use super::Connection;
 
 /// Idle connections to a target, and the number of all open ones.
@@ -11,15 +13,21 @@
 }
 
 impl ConnectionPool {
-    /// Takes a usable idle connection.
+    /// Takes a usable idle connection for a request with this id.
     ///
-    /// The most recently used one is taken, so that surplus connections reach their idle timeout.
-    pub fn take_idle(&mut self) -> Option<Connection> {
-        while let Some(connection) = self.idle.pop() {
+    /// The most recently used one is taken, so that surplus connections reach their idle timeout. If only such are left
+    /// on which this request was rejected, one of them is closed, so that there is capacity for a new one.
+    pub fn take_idle(&mut self, request_id: &HeaderValue) -> Option<Connection> {
+        let can_carry = |connection: &Connection| !connection.has_rejected(request_id);
+        while let Some(index) = self.idle.iter().rposition(can_carry) {
+            let connection = self.idle.remove(index);
             if connection.is_usable() {
                 return Some(connection);
             }
-            self.open_count = self.open_count.saturating_sub(1);
+            self.release();
+        }
+        if self.idle.pop().is_some() {
+            self.release();
         }
         None
     }
--- a/crates/limpet-gateway/tests/odd_replies.rs
+++ b/crates/limpet-gateway/tests/odd_replies.rs
@@ -87,6 +87,28 @@
     second_copy_of_a_part_without_id => ("/all/a", 2, false);
 }
 
+/// Guards against an at-most-once request that runs twice: a late copy of the rejection of its first attempt carries its
+/// id, and would be taken for the rejection of a second attempt on the same connection, which the target runs.
+#[tokio::test]
+async fn late_copy_of_a_rejection_rejects_no_other_attempt() {
+    for _ in 0..3 {
+        let target = FakeTarget::start(|index, _| match index {
+            0 => Behaviour::Shed,
+            _ => Behaviour::StaleCopyThenAnswer,
+        })
+        .await;
+        let deployment = Deployment::new();
+        let route = route("/once/", Idempotency::AtMostOnce, "s");
+        deployment.publish_config(config(1, vec![route], &["s"]));
+        deployment.publish_target("t", target_record("s", target.addr));
+        let gateway = RunningGateway::start(&deployment).await;
+        let reply = get(gateway.caller_addr, "/once/a").await;
+        assert_eq!((reply.status, &*reply.body), (200, &b"request-1"[..]));
+        let run_count = target.received_requests().len() - 1;
+        assert_eq!(run_count, 1, "all but the rejected attempt ran");
+    }
+}
+
 /// Checks that a request is served by another target, and a shard left out, while a target shows `behaviour`.
 async fn check_faulty_target_is_replaced(behaviour: Behaviour) {
     let faulty = FakeTarget::always(behaviour).await;
--- a/crates/limpet-gateway/tests/support/target.rs
+++ b/crates/limpet-gateway/tests/support/target.rs
@@ -63,6 +63,8 @@
     /// Answers, and after a delay sends a second copy of the response on the same connection, which stays open.
     /// The second copy carries the request id if the flag is set.
     Twice(Duration, bool),
+    /// Sends a copy of the previous response of the connection, if there is one, and then answers successfully.
+    StaleCopyThenAnswer,
     /// Sends a head without end.
     EndlessHead,
     /// Sends interim replies without end.
@@ -175,6 +177,7 @@
     crash: Arc<Notify>,
 ) {
     let mut buffer = Vec::new();
+    let mut previous_response = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer).await {
         let id = request
             .headers
@@ -197,6 +200,12 @@
                 format_response(status, &id, body, headers)
             }
             Behaviour::Shed => format_response(503, &id, b"", "t-not-run: 1\r\n"),
+            Behaviour::StaleCopyThenAnswer => {
+                if stream.write_all(&previous_response).await.is_err() {
+                    return;
+                }
+                format_response(200, &id, id.as_bytes(), "")
+            }
             Behaviour::OtherTarget => format_response(421, &id, b"", "t-target: other\r\n"),
             Behaviour::WrongRequestId => format_response(200, "another-request", b"crossed", ""),
             Behaviour::Unsigned => {
@@ -270,6 +279,7 @@
         if stream.write_all(&response).await.is_err() {
             return;
         }
+        previous_response = response;
     }
 }
 
