End the process in time also if its log is not read

Cause: at its end the process drops the handle of the log, which waits for a second for the output; if the buffer is full as well, the library then prints an error to the same output and waits without end. The schedule of a stop leaves 240 ms of 3 s.

--- a/crates/limpet-gateway/src/log.rs
+++ b/crates/limpet-gateway/src/log.rs
@@ -2,6 +2,8 @@
 
 use std::{
     io::Write,
+    sync::mpsc,
+    thread,
     time::Duration, //
 };
 
@@ -19,7 +21,7 @@
 /// Interval between two reports of dropped lines.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Handle of the running log; dropping it flushes the buffered lines.
+/// Handle of the running log; dropping it, or better [`Log::flush_within`], flushes the buffered lines.
 #[derive(Debug)]
 pub struct Log {
     drop_counter: ErrorCounter,
@@ -49,6 +51,23 @@
         }
     }
 
+    /// Writes the buffered lines and ends the log; lines that are not written within `limit` are lost.
+    ///
+    /// Dropping the log instead waits for a second if the output blocks, and without end if the buffer is full as well.
+    pub fn flush_within(self, limit: Duration) {
+        let (done_sender, done_receiver) = mpsc::channel();
+        // Not joined: it may be blocked by the output until the process ends.
+        let spawned = thread::Builder::new().spawn(move || {
+            drop(self);
+            // Sending fails only if the limit is over.
+            let _ = done_sender.send(());
+        });
+        if spawned.is_ok() {
+            // An error means that the limit is over.
+            let _ = done_receiver.recv_timeout(limit);
+        }
+    }
+
     /// Returns a reporter of the lines that this log drops.
     pub fn dropped_lines_reporter(&self) -> DroppedLinesReporter {
         DroppedLinesReporter {
