--- a/crates/limpet-gateway/src/target/mod.rs
+++ b/crates/limpet-gateway/src/target/mod.rs
@@ -6,6 +6,7 @@
 mod connection_pool;
 mod crash_watch;
 mod fleet;
+mod head_limit;
 mod one_target;
 mod room_notifier;
 mod service_load;
--- a/crates/limpet-gateway/tests/odd_replies.rs
+++ b/crates/limpet-gateway/tests/odd_replies.rs
@@ -87,6 +87,28 @@
     second_copy_of_a_part_without_id => ("/all/a", 2, false);
 }
 
+/// Guards against an at-most-once request that runs twice: a late copy of the rejection of its first attempt carries its
+/// id, and would be taken for the rejection of a second attempt on the same connection, which the target runs.
+#[tokio::test]
+async fn late_copy_of_a_rejection_rejects_no_other_attempt() {
+    for _ in 0..3 {
+        let target = FakeTarget::start(|index, _| match index {
+            0 => Behaviour::Shed,
+            _ => Behaviour::StaleCopyThenAnswer,
+        })
+        .await;
+        let deployment = Deployment::new();
+        let route = route("/once/", Idempotency::AtMostOnce, "s");
+        deployment.publish_config(config(1, vec![route], &["s"]));
+        deployment.publish_target("t", target_record("s", target.addr));
+        let gateway = RunningGateway::start(&deployment).await;
+        let reply = get(gateway.caller_addr, "/once/a").await;
+        assert_eq!((reply.status, &*reply.body), (200, &b"request-1"[..]));
+        let run_count = target.received_requests().len() - 1;
+        assert_eq!(run_count, 1, "all but the rejected attempt ran");
+    }
+}
+
 /// Checks that a request is served by another target, and a shard left out, while a target shows `behaviour`.
 async fn check_faulty_target_is_replaced(behaviour: Behaviour) {
     let faulty = FakeTarget::always(behaviour).await;
@@ -124,10 +146,24 @@
 // Guards against a request that is lost to a reply without end.
 endless_reply_tests! {
     endless_head => Behaviour::EndlessHead;
+    endless_interim_replies => Behaviour::EndlessInterimReplies;
     endless_body => Behaviour::EndlessBody(Duration::ZERO);
     trickling_body => Behaviour::EndlessBody(Duration::from_millis(20));
 }
 
+/// Guards against a process that reads, and decodes, interim replies until the deadline of the request: other requests
+/// of the process would hardly get the processor.
+#[tokio::test]
+async fn endless_interim_replies_end_the_attempt_at_once() {
+    let target = FakeTarget::always(Behaviour::EndlessInterimReplies).await;
+    let gateway = start_gateway(&[&[&target]]).await;
+    let started = Instant::now();
+    let status = get(gateway.caller_addr, "/s0/a").await.status;
+    assert_eq!(status, 502);
+    // The route has a timeout of 2 s.
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
+
 /// Returns the memory that this process holds, in bytes.
 fn resident_bytes() -> usize {
     let statm = std::fs::read_to_string("/proc/self/statm").unwrap();
--- a/crates/limpet-gateway/tests/support/target.rs
+++ b/crates/limpet-gateway/tests/support/target.rs
@@ -65,8 +65,12 @@
     /// Answers, and after a delay sends a second copy of the response on the same connection, which stays open.
     /// The second copy carries the request id if the flag is set.
     Twice(Duration, bool),
+    /// Sends a copy of the previous response of the connection, if there is one, and then answers successfully.
+    StaleCopyThenAnswer,
     /// Sends a head without end.
     EndlessHead,
+    /// Sends interim replies without end.
+    EndlessInterimReplies,
     /// Sends the head of a signed response and then a body without end, with these pauses.
     EndlessBody(Duration),
 }
@@ -175,6 +179,7 @@
     crash: Arc<Notify>,
 ) {
     let mut buffer = Vec::new();
+    let mut previous_response = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer).await {
         let id = request
             .headers
@@ -197,6 +202,12 @@
                 format_response(status, &id, body, headers)
             }
             Behaviour::Shed => format_response(503, &id, b"", "t-not-run: 1\r\n"),
+            Behaviour::StaleCopyThenAnswer => {
+                if stream.write_all(&previous_response).await.is_err() {
+                    return;
+                }
+                format_response(200, &id, id.as_bytes(), "")
+            }
             Behaviour::OtherTarget => format_response(421, &id, b"", "t-target: other\r\n"),
             Behaviour::WrongRequestId => format_response(200, "another-request", b"crossed", ""),
             Behaviour::Unsigned => {
@@ -227,6 +238,11 @@
                 .await;
                 return;
             }
+            Behaviour::EndlessInterimReplies => {
+                let interim_replies = b"HTTP/1.1 103 Early Hints\r\n\r\n".repeat(512);
+                send_without_end(&mut stream, b"", &interim_replies, Duration::ZERO).await;
+                return;
+            }
             Behaviour::EndlessBody(pause) => {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nt-id: {id}\r\nt-signature: sig\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -273,6 +289,7 @@
         if stream.write_all(&response).await.is_err() {
             return;
         }
+        previous_response = response;
     }
 }
 
