--- a/crates/limpet-decide/tests/peer_load.rs
+++ b/crates/limpet-decide/tests/peer_load.rs
@@ -8,6 +8,7 @@
 use limpet_decide::peer_load::{
     LOAD_REPORT_PERIOD,
     LoadTracker,
+    MeanInFlight,
     PeerLoads,
     SERVICES_MAX,
     TARGETS_MAX,
@@ -229,3 +230,15 @@
     assert!(times_ms.len() <= 5000 / 800 + 4, "{times_ms:?}");
     assert!(in_period.iter().all(|ms| *ms == 800), "{times_ms:?}");
 }
+
+/// Guards against a target that looks fast because its requests have not ended, and against a time that stays after the
+/// requests ended.
+#[test]
+fn time_in_flight_includes_requests_that_have_not_ended() {
+    let mut in_flight = MeanInFlight::new();
+    in_flight.record_send(at(0));
+    assert!((in_flight.mean(at(5000)) - 0.63).abs() < 0.01);
+    in_flight.record_end(at(5000));
+    assert!((in_flight.mean(at(10_000)) - 0.23).abs() < 0.01);
+    assert_eq!(in_flight.count(), 0);
+}
