--- a/crates/limpet-decide/tests/balance_speed.rs
+++ b/crates/limpet-decide/tests/balance_speed.rs
@@ -179,3 +179,19 @@
     assert!(chosen.spread < 1.25, "{chosen:?}");
     assert!(chosen.late_share < own.late_share);
 }
+
+/// Guards against targets that keep a small share after they are as fast as the others again.
+#[test]
+fn recovered_targets_have_their_share_after_ten_seconds() {
+    let scenario = Scenario {
+        slow_targets: Some(SlowTargets {
+            count: 9,
+            factor: 4.0,
+            from: Duration::ZERO,
+            length: Duration::from_secs(8),
+        }),
+        ..LOOKUPS
+    };
+    let chosen = mean(&scenario, Policy::Chosen, LOOKUP_RUNS);
+    assert!(chosen.recovered_share > 0.9 * 9.0 / 29.0, "{chosen:?}");
+}
--- a/crates/limpet-decide/tests/balance_support/mod.rs
+++ b/crates/limpet-decide/tests/balance_support/mod.rs
@@ -66,6 +66,8 @@
 const ATTEMPTS_MAX: usize = 3;
 /// Latency that a request counts with if all its targets rejected it.
 const REJECTED_LATENCY: Duration = Duration::from_secs(8);
+/// Time after which a target that was slow must have its full share.
+const RECOVERY_TIME: Duration = Duration::from_secs(10);
 /// Time that the reports have to show that targets became slow.
 const SLOW_REPORT_TIME: Duration = Duration::from_secs(5);
 
@@ -85,6 +87,8 @@
     rejected_count: u32,
     /// Requests while targets were slow, and those of them that went to slow targets.
     slow_counts: (u32, u32),
+    /// The same after they recovered.
+    recovered_counts: (u32, u32),
     report_count: u32,
     report_bytes: usize,
     /// Idle slots that queued requests could have used, times seconds.
@@ -110,6 +114,8 @@
         p99: sim.latencies[sim.latencies.len() * 99 / 100],
         use_spread: use_s().fold(0.0, f64::max) / mean_use_s,
         slow_share: f64::from(sim.slow_counts.1) / f64::from(sim.slow_counts.0.max(1)),
+        recovered_share: f64::from(sim.recovered_counts.1)
+            / f64::from(sim.recovered_counts.0.max(1)),
         spread: usable.iter().copied().fold(0.0, f64::max) / mean,
         least: usable.iter().copied().fold(f64::MAX, f64::min) / mean,
         wait: waits.iter().sum::<Duration>() / waits.len().max(1) as u32,
@@ -200,6 +206,7 @@
             request_count: 0,
             rejected_count: 0,
             slow_counts: (0, 0),
+            recovered_counts: (0, 0),
             report_count: 0,
             report_bytes: 0,
             idle_slot_s: 0.0,
@@ -291,8 +298,15 @@
             sender.tracker.record_send(name, now);
             sender.targets[target].record_send(Some(self.scenario.service_time), now);
             self.request_count += u32::from(is_measured);
+            let is_recovered = self
+                .scenario
+                .slow_targets
+                .is_some_and(|slow| now >= WARMUP + slow.from + slow.length + RECOVERY_TIME);
+            let is_slow_at_times = self.targets[target].is_slow_at_times;
+            self.recovered_counts.0 += u32::from(is_recovered);
+            self.recovered_counts.1 += u32::from(is_recovered && is_slow_at_times);
             self.slow_counts.0 += u32::from(is_slow);
-            self.slow_counts.1 += u32::from(is_slow && self.targets[target].is_slow_at_times);
+            self.slow_counts.1 += u32::from(is_slow && is_slow_at_times);
             self.targets[target].request_count += u32::from(is_measured);
             let is_full = self.targets[target].queue.len() >= self.scenario.queue_max;
             if !self.targets[target].rejects && !is_full {
--- a/crates/limpet-decide/tests/balance_support/scenario.rs
+++ b/crates/limpet-decide/tests/balance_support/scenario.rs
@@ -106,6 +106,8 @@
     pub(crate) use_spread: f64,
     /// Share of the requests that went to the slow targets while they were slow.
     pub(crate) slow_share: f64,
+    /// Share of the requests that went to these targets from 10 s after they were as fast as the others again.
+    pub(crate) recovered_share: f64,
     /// Mean number of idle slots that requests in queues elsewhere could have used.
     pub(crate) idle_slots_while_queued: f64,
     /// Share of the requests that were rejected.
@@ -131,6 +133,7 @@
             p99: Duration::from_secs_f64(mean(|run| run.p99.as_secs_f64())),
             use_spread: mean(|run| run.use_spread),
             slow_share: mean(|run| run.slow_share),
+            recovered_share: mean(|run| run.recovered_share),
             wait: Duration::from_secs_f64(mean(|run| run.wait.as_secs_f64())),
             idle_slots_while_queued: mean(|run| run.idle_slots_while_queued),
             rejected_share: mean(|run| run.rejected_share),
