Let no attempt wait for others of its query

Cause: an attempt that might have cost one target too many waited for the earlier ones and their crash checks. An innocent gather that lost three targets before its retries found room failed at once, a waiting attempt was treated as sent (it marked its target as slow, spent budget of hedges and counted as rejected), and popular queries lost their hedges. Besides, a run that had a reply before a crash still got a strike for it, and the difference for queries with strikes hung on consecutive positions from 0.

Change: AttemptPermission, the waiting and the error kind `suspected` are removed. An attempt is refused only if the query is quarantined when it would start, before a target is picked, counted or paid for. That check reads all live strikes. The flag `has_reply` of a failed attempt belongs to its run, so a reply before the crash counts as one after it does.

The fake target gets two behaviours, each with a delay.

--- a/crates/limpet-decide/src/quarantine/mod.rs
+++ b/crates/limpet-decide/src/quarantine/mod.rs
@@ -5,7 +5,6 @@
 
 pub use crash_suspect::CrashSuspect;
 pub use strike_table::{
-    AttemptPermission,
     QUARANTINE_STRIKES,
     QUERY_STRIKES_MAX,
     Restriction,
--- a/crates/limpet-decide/src/quarantine/strike_table.rs
+++ b/crates/limpet-decide/src/quarantine/strike_table.rs
@@ -30,7 +30,8 @@
 /// Number of strikes that still count at which a query is quarantined even if others ran at each of its crashes.
 ///
 /// A query without isolated runs cannot clear itself of a crash that another one caused. With two, one poison query
-/// quarantines others that were in flight at its first two crashes; a poison query costs at most this many targets.
+/// quarantines others that were in flight at its first two crashes; a poison query costs at most this many targets,
+/// and in addition those of the repetitions in the run that brings the last strike.
 pub const QUERY_STRIKES_MAX: usize = 3;
 /// Number of the newest strikes from which those of a report are drawn.
 const SAMPLED_STRIKES_MAX: usize = 64;
@@ -51,17 +52,6 @@
     Quarantined,
 }
 
-/// Whether another attempt of a query may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AttemptPermission {
-    /// The attempt may be sent.
-    Allowed,
-    /// Earlier attempts of the query may have crashed or may yet crash their targets; the attempt waits until that is known.
-    AwaitOthers,
-    /// The query is quarantined.
-    Refused,
-}
-
 /// Returns the identifier of a target crash that the target's owner observed at `observed_at`.
 ///
 /// The time is part of the identifier because a target may crash again before it reports its new incarnation;
@@ -235,29 +225,6 @@
         sole_count >= QUARANTINE_STRIKES || count >= QUERY_STRIKES_MAX
     }
 
-    /// Returns whether another attempt of a query may be sent: `crashed_count` attempts of the same run crashed their targets,
-    /// and `at_risk_count` may have done so or may yet do so.
-    ///
-    /// Known crashes and attempts at risk together stay below [`QUERY_STRIKES_MAX`], which bounds the cost of a poison query
-    /// that is repeated without a pause. A query without strikes is delayed only after that many attempts without a reply.
-    pub fn attempt_permission(
-        &self,
-        fingerprint: u64,
-        crashed_count: usize,
-        at_risk_count: usize,
-        now: Duration,
-    ) -> AttemptPermission {
-        if self.is_query_quarantined(fingerprint, now) {
-            return AttemptPermission::Refused;
-        }
-        // A strike of the run may stand for several of its crashes.
-        let known_count = crashed_count.max(self.strike_count(fingerprint, now));
-        match known_count + at_risk_count < QUERY_STRIKES_MAX {
-            true => AttemptPermission::Allowed,
-            false => AttemptPermission::AwaitOthers,
-        }
-    }
-
     /// Records a crash of a target against the queries that may have caused it; `others` were in flight there too, but the
     /// crash was recorded against them before, or they are not suspected.
     ///
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -20,7 +20,6 @@
 use super::{
     QueryContext,
     crash_check,
-    crash_risk::begin_attempt,
     merge::RECORD_BYTES, //
     outcome::guarantees_not_run,
 };
@@ -63,9 +62,6 @@
     is_needed: impl Fn() -> bool,
 ) -> Result<TargetReply, AttemptError> {
     let shared = &query.shared;
-    let _counted_attempt = begin_attempt(query, target).await.inspect_err(|error| {
-        log_failure(query, target, error, Duration::ZERO);
-    })?;
     let mean_latency = shared.with_route_latency(&query.route.name, |latency| latency.mean());
     let in_flight = InFlightGuard::new(shared, target, mean_latency);
     let mut timer = AttemptTimer::new(query, target);
@@ -101,8 +97,7 @@
             match error.kind {
                 AttemptErrorKind::ConnectionLimit
                 | AttemptErrorKind::NotWanted
-                | AttemptErrorKind::NotNeeded
-                | AttemptErrorKind::Suspected => {}
+                | AttemptErrorKind::NotNeeded => {}
                 AttemptErrorKind::Unreachable | AttemptErrorKind::Timeout => {
                     target.health().record_no_reply(now);
                 }
--- a/crates/limpet-gateway/src/query/crash_check.rs
+++ b/crates/limpet-gateway/src/query/crash_check.rs
@@ -57,14 +57,14 @@
         let connect_result = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(target.addr)).await;
         let is_listening =
             !matches!(&connect_result, Ok(Err(error)) if is_no_listener(error.kind()));
-        // The strikes are recorded first, as attempts that wait for the end of the check look at them.
-        let mut strike_table = shared.strike_table();
         let Some(crash) = target.crash_watch.end_check(is_listening) else {
             return;
         };
         let suspects = crash.suspects();
-        strike_table.record_target_crash(&suspects, &crash.others(), shared.now());
-        drop(strike_table);
+        let now = shared.now();
+        shared
+            .strike_table()
+            .record_target_crash(&suspects, &crash.others(), now);
         target.pool().close_idle();
         log_crash(&target, &crash, suspects.len());
     });
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -48,7 +48,7 @@
     pub aggregator_count: Option<usize>,
     /// What the attempts of this run tell about it.
     pub run_statistics: RunStatistics,
-    /// Attempts of this run that may crash their targets.
+    /// What the attempts of this run tell about whether the query crashes its targets.
     pub crash_risk: CrashRisk,
 }
 
@@ -66,6 +66,13 @@
         }
     }
 
+    /// Returns whether the query is quarantined, be it since it runs.
+    pub fn is_quarantined(&self) -> bool {
+        let now = self.shared.now();
+        let strike_table = self.shared.strike_table();
+        strike_table.is_query_quarantined(self.fingerprint, now)
+    }
+
     /// Returns the request id as text for the log.
     pub fn request_id(&self) -> &str {
         self.request.request_id.to_str().unwrap_or("?")
--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -27,6 +27,7 @@
     gather_progress::GatherProgress,
     hedge_timer::HedgeTimer,
     service_error::{
+        QUARANTINED,
         ServiceError,
         TIMED_OUT, //
     },
@@ -245,7 +246,8 @@
             }
             Start::Waiting => {}
             Start::Impossible if wanted == Wanted::First => return Err(self.no_target_error()),
-            Start::Impossible => {
+            Start::Refused if wanted == Wanted::First => return Err(QUARANTINED),
+            Start::Impossible | Start::Refused => {
                 self.wanted = None;
                 self.wait.clear();
                 match wanted {
@@ -262,6 +264,10 @@
         if !self.is_allowed(wanted) {
             return Start::Impossible;
         }
+        // Checked before a target is picked or budget is spent.
+        if self.query.is_quarantined() {
+            return Start::Refused;
+        }
         let extra = wanted.extra();
         // An attempt that reached no target caused no load, so the one that replaces it needs no budget.
         let spent = extra.filter(|_| self.arrived_attempts > 0);
--- a/crates/limpet-gateway/src/query/service_error.rs
+++ b/crates/limpet-gateway/src/query/service_error.rs
@@ -21,3 +21,10 @@
     is_not_run: false,
     retry_after: None,
 };
+
+/// The query was quarantined before its first attempt at the service.
+pub(super) const QUARANTINED: ServiceError = ServiceError {
+    kind: RequestErrorKind::Quarantined,
+    is_not_run: true,
+    retry_after: None,
+};
--- a/crates/limpet-gateway/src/query/wanted_attempt.rs
+++ b/crates/limpet-gateway/src/query/wanted_attempt.rs
@@ -25,6 +25,8 @@
     Waiting,
     /// The attempt is not allowed or not possible.
     Impossible,
+    /// The query is quarantined.
+    Refused,
 }
 
 impl Wanted {
--- a/crates/limpet-gateway/src/target/attempt_error.rs
+++ b/crates/limpet-gateway/src/target/attempt_error.rs
@@ -13,8 +13,6 @@
     NotWanted,
     /// The reply was no longer needed when a connection was open; nothing was sent.
     NotNeeded,
-    /// The query is suspected of crashing its targets; nothing was sent, and no other target is asked.
-    Suspected,
     /// The target reported that it did not run the request.
     NotRun,
     /// The target refused the request without saying that it did not run it; the request may have run.
@@ -38,7 +36,6 @@
                 | Self::ConnectionLimit
                 | Self::NotWanted
                 | Self::NotNeeded
-                | Self::Suspected
                 | Self::NotRun
                 | Self::WrongTarget
         )
@@ -46,18 +43,14 @@
 
     /// Returns whether another attempt may follow; `is_idempotent` tells whether the request may run twice.
     pub const fn allows_retry(self, is_idempotent: bool) -> bool {
-        !matches!(self, Self::Suspected) && (is_idempotent || self.is_not_run())
+        is_idempotent || self.is_not_run()
     }
 
     /// Returns whether the request may have reached the target.
     pub const fn may_have_arrived(self) -> bool {
         !matches!(
             self,
-            Self::Unreachable
-                | Self::ConnectionLimit
-                | Self::NotWanted
-                | Self::NotNeeded
-                | Self::Suspected
+            Self::Unreachable | Self::ConnectionLimit | Self::NotWanted | Self::NotNeeded
         )
     }
 
@@ -76,7 +69,6 @@
             Self::ConnectionLimit => "no_connection",
             Self::NotWanted => "not_wanted",
             Self::NotNeeded => "not_needed",
-            Self::Suspected => "suspected",
             Self::NotRun => "not_run",
             Self::UncertainRefusal => "uncertain_refusal",
             Self::WrongTarget => "other_target",
--- a/crates/limpet-gateway/src/target/crash_watch.rs
+++ b/crates/limpet-gateway/src/target/crash_watch.rs
@@ -9,7 +9,6 @@
 };
 
 use limpet_decide::quarantine::CrashSuspect;
-use tokio::sync::Notify;
 
 /// An attempt that ended without a valid reply.
 #[derive(Clone, Debug)]
@@ -18,10 +17,8 @@
     pub suspect: CrashSuspect,
     /// Id of the request, for the log.
     pub request_id: Box<str>,
-    /// Whether a target has replied to another attempt of the run since.
+    /// Whether a target has replied to another attempt of the run, before or since.
     pub has_reply: Arc<AtomicBool>,
-    /// Whether the attempt ended in a crash of its target; set before the check ends.
-    pub has_crashed: Arc<AtomicBool>,
 }
 
 /// A crash of a target that a check confirmed.
@@ -37,7 +34,6 @@
 #[derive(Debug, Default)]
 pub struct CrashWatch {
     state: Mutex<CrashWatchState>,
-    check_ended: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -64,46 +60,24 @@
 
     /// Ends the check; returns the crash if the target no longer listens.
     pub fn end_check(&self, is_listening: bool) -> Option<ConfirmedCrash> {
-        let crash = {
-            let mut state = self.state();
-            state.is_check_running = false;
-            let attempts = std::mem::take(&mut state.attempts);
-            let recorded = match is_listening {
-                true => std::mem::take(&mut state.recorded),
-                false => state.recorded.clone(),
-            };
-            if !is_listening {
-                for attempt in &attempts {
-                    attempt.has_crashed.store(true, Ordering::Relaxed);
-                    state.recorded.push(attempt.suspect);
-                }
-            }
-            ConfirmedCrash { attempts, recorded }
-        };
-        self.check_ended.notify_waiters();
-        (!is_listening).then_some(crash)
+        let mut state = self.state();
+        state.is_check_running = false;
+        let attempts = std::mem::take(&mut state.attempts);
+        if is_listening {
+            state.recorded.clear();
+            return None;
+        }
+        let recorded = state.recorded.clone();
+        state
+            .recorded
+            .extend(attempts.iter().map(|attempt| attempt.suspect));
+        Some(ConfirmedCrash { attempts, recorded })
     }
 
     /// Records that the target accepted a connection: what fails from now on belongs to another crash.
     pub fn record_listening(&self) {
         self.state().recorded.clear();
     }
-
-    /// Returns whether a check is running.
-    pub fn is_check_running(&self) -> bool {
-        self.state().is_check_running
-    }
-
-    /// Waits until no check is running.
-    pub async fn check_ended(&self) {
-        let check_ended = self.check_ended.notified();
-        tokio::pin!(check_ended);
-        // The check may end before this task listens.
-        check_ended.as_mut().enable();
-        if self.is_check_running() {
-            check_ended.await;
-        }
-    }
 }
 
 impl ConfirmedCrash {
@@ -112,7 +86,7 @@
         self.queries(|attempt| attempt.is_suspect())
     }
 
-    /// Returns the other queries that were in flight: those that were recorded before, or have got a reply since.
+    /// Returns the other queries that were in flight: those that were recorded before, or whose run has got a reply.
     pub fn others(&self) -> Vec<CrashSuspect> {
         let mut others = self.queries(|attempt| !attempt.is_suspect());
         others.extend(&self.recorded);
--- a/crates/limpet-gateway/tests/support/target.rs
+++ b/crates/limpet-gateway/tests/support/target.rs
@@ -44,8 +44,12 @@
     Shed,
     /// Runs the request and closes the connection.
     Close,
+    /// Runs the request and closes the connection after a delay.
+    CloseAfter(Duration),
     /// Stops the target: its connections close and it no longer listens.
     Crash,
+    /// Like [`Behaviour::Crash`], after a delay.
+    CrashAfter(Duration),
     /// Like [`Behaviour::Crash`], but the connection of this request closes shortly after the others.
     CrashLast,
     /// Runs the request and sends no response.
@@ -251,11 +255,21 @@
                 return;
             }
             Behaviour::Close => return,
+            Behaviour::CloseAfter(delay) => {
+                sleep(delay).await;
+                return;
+            }
             Behaviour::Crash => {
                 crash.notify_one();
                 sleep(Duration::from_secs(30)).await;
                 return;
             }
+            Behaviour::CrashAfter(delay) => {
+                sleep(delay).await;
+                crash.notify_one();
+                sleep(Duration::from_secs(30)).await;
+                return;
+            }
             Behaviour::CrashLast => {
                 tokio::spawn(async move {
                     sleep(LAST_CLOSE_DELAY).await;
