Deliver a merged answer that is ready while no memory is left

Cause: a merged answer that was complete while slow readers held the memory for bodies was dropped as 502, although its query had run.

Change: it is counted beyond the limit, at the process that received the query and at an aggregator, so that further parts and bodies are refused until memory is free. A body of up to 16 KB is received even if more than the limit is used.

--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -174,27 +174,22 @@
     };
     outcome
         .map_err(|error| complete_error(&query, error))
-        .and_then(|answer| reserve_answer(shared, answer))
+        .map(|answer| reserve_answer(shared, answer))
 }
 
 /// Reserves the memory of a merged answer until it is sent; that of a reply was reserved when it arrived.
-fn reserve_answer(shared: &SharedState, answer: Answer) -> Outcome {
+fn reserve_answer(shared: &SharedState, answer: Answer) -> Answer {
     match answer {
         Answer::Gathered {
             signatures,
             missing_count,
             body,
-        } => {
-            let no_memory_error =
-                |_: BodyError| RequestError::may_have_run(RequestErrorKind::NoMemory);
-            let body = shared.body_memory.reserve(body).map_err(no_memory_error)?;
-            Ok(Answer::Gathered {
-                signatures,
-                missing_count,
-                body,
-            })
-        }
-        Answer::Reply(reply) => Ok(Answer::Reply(reply)),
+        } => Answer::Gathered {
+            signatures,
+            missing_count,
+            body: shared.body_memory.reserve(body),
+        },
+        Answer::Reply(reply) => Answer::Reply(reply),
     }
 }
 
--- a/crates/limpet-gateway/src/gateway.rs
+++ b/crates/limpet-gateway/src/gateway.rs
@@ -217,15 +217,7 @@
         _ => 0,
     };
     let mut reservation = shared.body_memory.reservation();
-    if !reservation.try_extend(size_bytes) {
-        metrics::counter!("limpet_bodies_dropped_total").increment(1);
-        // The query has run.
-        return PeerReply::Gather(GatherReply::Failed {
-            is_timed_out: false,
-            is_not_run: false,
-        })
-        .into();
-    }
+    reservation.extend(size_bytes);
     GuardedReply {
         reply: PeerReply::Gather(reply),
         guard: Some(Box::new(reservation)),
--- a/crates/limpet-gateway/src/memory.rs
+++ b/crates/limpet-gateway/src/memory.rs
@@ -80,18 +80,12 @@
         self.used_bytes.load(Ordering::Relaxed)
     }
 
-    /// Reserves the memory of a body that this process built, until the result and all its copies are dropped.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`BodyError::NoMemory`] if the body is larger than usual while no memory is left.
-    pub fn reserve(self: &Arc<Self>, bytes: Bytes) -> Result<Bytes, BodyError> {
+    /// Reserves the memory of a merged answer until the result and all its copies are dropped, see
+    /// [`BodyReservation::extend`].
+    pub fn reserve(self: &Arc<Self>, bytes: Bytes) -> Bytes {
         let mut reservation = self.reservation();
-        if !reservation.try_extend(bytes.len()) {
-            metrics::counter!("limpet_bodies_dropped_total").increment(1);
-            return Err(BodyError::NoMemory);
-        }
-        Ok(reservation.into_reserved(bytes))
+        reservation.extend(bytes.len());
+        reservation.into_reserved(bytes)
     }
 
     /// Reserves nothing yet.
@@ -104,10 +98,31 @@
 }
 
 impl BodyReservation {
+    /// Returns how much a body of `body_bytes` needs in addition.
+    const fn missing_bytes(&self, body_bytes: usize) -> usize {
+        let needed_bytes = body_bytes.saturating_sub(FREE_BYTES);
+        needed_bytes.saturating_sub(self.bytes)
+    }
+
+    /// Extends the reservation to a body of `body_bytes`, beyond the limit if no memory is left.
+    ///
+    /// For an answer that is complete: its query has run, and it is not larger than its parts, whose memory is released
+    /// now. What arrives later is refused until memory is free again.
+    pub fn extend(&mut self, body_bytes: usize) {
+        let added_bytes = self.missing_bytes(body_bytes);
+        self.memory
+            .used_bytes
+            .fetch_add(added_bytes, Ordering::Relaxed);
+        self.bytes += added_bytes;
+    }
+
     /// Extends the reservation to a body of `body_bytes`; returns false if no memory is left.
     pub fn try_extend(&mut self, body_bytes: usize) -> bool {
-        let needed_bytes = body_bytes.saturating_sub(FREE_BYTES);
-        let added_bytes = needed_bytes.saturating_sub(self.bytes);
+        let added_bytes = self.missing_bytes(body_bytes);
+        // A body of usual size is received even if more than the limit is used.
+        if added_bytes == 0 {
+            return true;
+        }
         let limit_bytes = self.memory.limit_bytes;
         let add = |used: usize| {
             let sum = used.checked_add(added_bytes)?;
--- a/crates/limpet-gateway/tests/slow_readers.rs
+++ b/crates/limpet-gateway/tests/slow_readers.rs
@@ -15,6 +15,7 @@
     IDLE_TIMEOUT,
     LARGE_ANSWER_BYTES,
     LARGE_PART_BYTES,
+    SMALL_PARTS_ANSWER_BYTES,
     get,
     send_without_reading,
     start_large_answer_gateway, //
@@ -71,6 +72,26 @@
     reader_of_nothing_of_a_merged_answer => "/merged/a",
 }
 
+/// Guards against a merged answer that is dropped, although its query has run and it is ready, because slow readers hold the
+/// memory for bodies.
+#[tokio::test]
+async fn ready_answer_is_delivered_while_slow_readers_hold_the_memory() {
+    // The large answer leaves less than the merged one needs.
+    let memory_bytes = LARGE_ANSWER_BYTES + SMALL_PARTS_ANSWER_BYTES / 4;
+    let (gateway, _targets) = start_large_answer_gateway(memory_bytes).await;
+    let addr = gateway.caller_addr;
+    let stalled = send_without_reading(addr, "/large/a").await;
+    sleep(IDLE_TIMEOUT / 4).await;
+    assert_eq!(get(addr, "/large/a").await.status, 502, "memory is left");
+    let answer = get(addr, "/small-parts/a").await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body.len(), SMALL_PARTS_ANSWER_BYTES);
+    // It was counted until it was read, and no longer.
+    sleep(IDLE_TIMEOUT * 2).await;
+    assert_eq!(get(addr, "/large/a").await.status, 200, "not released");
+    drop(stalled);
+}
+
 /// Guards against a limit for the time until the next request that cuts an answer which is still being read.
 #[tokio::test]
 async fn slow_and_steady_reader_gets_the_whole_answer() {
--- a/crates/limpet-gateway/tests/support/mod.rs
+++ b/crates/limpet-gateway/tests/support/mod.rs
@@ -36,6 +36,7 @@
         IDLE_TIMEOUT,
         LARGE_ANSWER_BYTES,
         LARGE_PART_BYTES,
+        SMALL_PARTS_ANSWER_BYTES,
         send_without_reading,
         start_large_answer_gateway, //
     },
--- a/crates/limpet-gateway/tests/support/slow_reader.rs
+++ b/crates/limpet-gateway/tests/support/slow_reader.rs
@@ -37,22 +37,37 @@
 pub(crate) const LARGE_ANSWER_BYTES: usize = 7 << 20;
 /// Part of a merged answer; two parts are larger than those buffers.
 pub(crate) const LARGE_PART_BYTES: usize = 3 << 20;
+/// Part of an answer that needs no memory until it is merged.
+const SMALL_PART_BYTES: usize = 16 << 10;
+/// Number of such parts; the answer occupies more than the small body sizes of all parts but one.
+const SMALL_PARTS: usize = 8;
+/// Size of the answer of all small parts.
+pub(crate) const SMALL_PARTS_ANSWER_BYTES: usize = SMALL_PARTS * SMALL_PART_BYTES;
 /// Size of the receive buffer of a caller that reads slowly.
 const SMALL_RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
 
-/// Starts a gateway with a route `/large/` to one target, `/merged/` to two shards and `/small/`.
+/// Starts a gateway with a route `/large/` to one target, `/merged/` to two shards, `/small-parts/` to several and `/small/`.
 pub(crate) async fn start_large_answer_gateway(
     body_memory_bytes: usize,
 ) -> (RunningGateway, Vec<FakeTarget>) {
     let deployment = Deployment::new();
-    let services = ["large", "part-a", "part-b", "small"];
+    let small_parts: Vec<String> = (0..SMALL_PARTS)
+        .map(|part| format!("small-part-{part}"))
+        .collect();
+    let mut services = vec!["large", "part-a", "part-b", "small"];
+    services.extend(small_parts.iter().map(String::as_str));
     let mut merged = scatter_gather_route("/merged/", &services[1..3], 1.0);
     if let Destination::ScatterGather(gather) = &mut merged.destination {
         gather.records_max = 2 * LARGE_PART_BYTES / 16;
     }
+    let mut merged_small = scatter_gather_route("/small-parts/", &services[4..], 1.0);
+    if let Destination::ScatterGather(gather) = &mut merged_small.destination {
+        gather.records_max = SMALL_PARTS_ANSWER_BYTES / 16;
+    }
     let mut routes = vec![
         route("/large/", Idempotency::Idempotent, "large"),
         merged,
+        merged_small,
         route("/small/", Idempotency::Idempotent, "small"),
     ];
     for route in &mut routes {
@@ -66,7 +81,8 @@
         let size_bytes = match service {
             "large" => LARGE_ANSWER_BYTES,
             "small" => 16,
-            _ => LARGE_PART_BYTES,
+            "part-a" | "part-b" => LARGE_PART_BYTES,
+            _ => SMALL_PART_BYTES,
         };
         let body: &'static [u8] = Box::leak(vec![b'a'; size_bytes].into());
         let target = FakeTarget::always(Behaviour::Answer(200, body, Duration::ZERO)).await;
