Keep the reservation of a reply until h2 has sent its bytes

Cause: the guard of a reply to another process was dropped once h2 had queued the bytes. With the windows of PeerClient (2 MB) h2 queues up to 400 KB at once, so a reply of 300 KB to a process that reads nothing counted towards nothing, and was kept as long as the connection.

Change: the encoded reply and its guard become one Bytes (from_owner), so the guard lives until h2 has sent or dropped all of them. A connection on which the kernel accepts nothing for 10 s fails (tokio-io-timeout, as for callers), since h2 drops what it has queued only with the connection. This applies to all users of the server of limpet-peer.

Evidence: with the guard dropped after queueing, a_guard_lives_until_the_queued_bytes_* fails; without the write timeout, a_queued_reply_to_a_suspended_peer_is_dropped fails.

--- a/crates/limpet-peer/src/body.rs
+++ b/crates/limpet-peer/src/body.rs
@@ -20,7 +20,7 @@
 
 /// Longest time for which the receiver of a body may accept nothing of it. A process that was suspended accepts nothing, and
 /// its kernel keeps the connection open.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Reads a complete body; fails if it is larger than the maximum size of a message.
 pub(crate) async fn read_body(mut stream: RecvStream) -> Result<Vec<u8>, h2::Error> {
--- a/crates/limpet-peer/src/server.rs
+++ b/crates/limpet-peer/src/server.rs
@@ -36,13 +36,16 @@
         timeout_at, //
     },
 };
+use tokio_io_timeout::TimeoutStream;
 
 use crate::{
     GuardedReply,
     body::{
+        WRITE_STALL_TIMEOUT,
         read_body,
         write_body, //
     },
+    guarded_reply::into_guarded,
     message_metrics,
 };
 
@@ -170,11 +173,14 @@
     R: Into<GuardedReply> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    // What h2 has queued is dropped with the connection only.
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(WRITE_STALL_TIMEOUT));
     let handshake = h2::server::Builder::new()
         .max_concurrent_streams(STREAMS_MAX)
         .initial_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(STREAM_WINDOW_BYTES * 4)
-        .handshake(stream);
+        .handshake(Box::pin(stream));
     let mut abort_receiver = stage_receiver.clone();
     let aborted = async move {
         let abort = abort_receiver.wait_for(|stage| *stage == Stage::Aborting);
@@ -270,9 +276,7 @@
     // The reader may be slow; only the encoded reply is kept meanwhile.
     drop(reply);
     let size_bytes = body.len();
-    let result = write_body(stream, body.into()).await;
-    drop(guard);
-    result?;
+    write_body(stream, into_guarded(body, guard)).await?;
     message_metrics::record_sent(kind, size_bytes);
     Ok(())
 }
--- a/crates/limpet-peer/tests/calls.rs
+++ b/crates/limpet-peer/tests/calls.rs
@@ -26,6 +26,7 @@
 use tokio::{
     net::{
         TcpListener,
+        TcpSocket,
         TcpStream, //
     },
     sync::Notify, //
@@ -118,6 +119,98 @@
     server.stop().await;
 }
 
+/// Starts a server with a small send buffer that answers each request with `reply_bytes`, and sends it a request on a connection
+/// with the window sizes of [`PeerClient`]. The connection is driven only until the reply begins; the signal tells that the
+/// guard of the reply is dropped.
+async fn start_unread_reply(
+    reply_bytes: usize,
+) -> (
+    PeerServer,
+    Arc<Notify>,
+    h2::RecvStream,
+    impl Future<Output = Result<(), h2::Error>> + Send,
+) {
+    const WINDOW_BYTES: u32 = 2 << 20;
+    const SOCKET_BUFFER_BYTES: u32 = 16 << 10;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    // Accepted connections inherit the size of the buffer.
+    let listener = socket.listen(16).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let drop_signal = Arc::new(Notify::new());
+    let handler_drop_signal = Arc::clone(&drop_signal);
+    let server = serve(listener, move |_| {
+        let guard = NotifyOnDrop(Arc::clone(&handler_drop_signal));
+        let reply = GatherReply::Gathered {
+            signatures: Vec::new(),
+            missing_count: 0,
+            body: vec![0; reply_bytes],
+        };
+        async move {
+            GuardedReply {
+                reply: PeerReply::Gather(reply),
+                guard: Some(Box::new(guard)),
+            }
+        }
+    });
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES).unwrap();
+    let stream = socket.connect(addr).await.unwrap();
+    let (mut sender, connection) = h2::client::Builder::new()
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES * 4)
+        .handshake::<_, Bytes>(stream)
+        .await
+        .unwrap();
+    let mut connection = Box::pin(connection);
+    let (response, mut body) = sender.send_request(http::Request::new(()), false).unwrap();
+    let request = codec::encode(&PeerRequest::Status).unwrap();
+    body.send_data(Bytes::from(request), true).unwrap();
+    let response = tokio::select! {
+        _ = &mut connection => panic!("the connection ended"),
+        response = response => response.unwrap(),
+    };
+    (server, drop_signal, response.into_body(), connection)
+}
+
+/// Guards against a reply that counts as sent once h2 has queued it, although its bytes still occupy memory.
+#[tokio::test]
+async fn a_guard_lives_until_the_queued_bytes_of_the_reply_are_sent() {
+    const REPLY_BYTES: usize = 300 << 10;
+    let (server, drop_signal, mut body, connection) = start_unread_reply(REPLY_BYTES).await;
+    // Gives the request, and what fits into the buffers of the sockets, time to arrive.
+    tokio::time::timeout(Duration::from_millis(300), drop_signal.notified())
+        .await
+        .expect_err("the guard was dropped before the reply was sent");
+    let driver = tokio::spawn(connection);
+    let mut received_bytes = 0;
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.unwrap();
+        received_bytes += chunk.len();
+        body.flow_control().release_capacity(chunk.len()).unwrap();
+    }
+    assert!(received_bytes > REPLY_BYTES, "{received_bytes} bytes");
+    tokio::time::timeout(TEST_TIMEOUT, drop_signal.notified())
+        .await
+        .expect("the guard was not dropped after the reply was sent");
+    drop(body);
+    driver.abort();
+    server.stop().await;
+}
+
+/// Guards against a suspended peer that keeps the memory of a reply which h2 has queued as a whole: its windows are open, but
+/// its kernel accepts nothing.
+#[tokio::test(start_paused = true)]
+async fn a_queued_reply_to_a_suspended_peer_is_dropped() {
+    let (server, drop_signal, body, connection) = start_unread_reply(300 << 10).await;
+    tokio::time::timeout(TEST_TIMEOUT, drop_signal.notified())
+        .await
+        .expect("the reply was not dropped");
+    drop((body, connection));
+    server.stop().await;
+}
+
 /// Guards against a stop that waits for streams and connections which do not end, and against tasks that outlive it.
 #[tokio::test]
 async fn a_stop_by_a_time_ends_the_streams_in_flight() {
