--- a/crates/limpet-gateway/tests/load_work.rs
+++ b/crates/limpet-gateway/tests/load_work.rs
@@ -118,7 +118,7 @@
             in_flight,
             requests_per_10_s: 30,
             rejected_255ths: 0,
-            mean_in_flight_1000ths: 0,
+            mean_in_flight_1000ths: u16::from(in_flight) * 1000,
         }],
     };
     let encoded = codec::encode(&report).unwrap();
