--- a/crates/limpet-decide/src/balance/load_sums.rs
+++ b/crates/limpet-decide/src/balance/load_sums.rs
@@ -51,7 +51,7 @@
     /// Number of targets that accept requests.
     target_count: f64,
     slots: f64,
-    /// Slots times speeds.
+    /// Sum of the slots of all targets, each multiplied by the speed of its target.
     capacity: f64,
     requests: f64,
     own_requests: f64,
