--- a/crates/limpet-decide/src/quarantine/strike_table.rs
+++ b/crates/limpet-decide/src/quarantine/strike_table.rs
@@ -225,6 +225,12 @@
         sole_count >= QUARANTINE_STRIKES || count >= QUERY_STRIKES_MAX
     }
 
+    /// Returns the number of known strikes of a query that is to begin; `None` if it is quarantined.
+    pub fn admit_query(&self, fingerprint: u64, now: Duration) -> Option<usize> {
+        let is_admitted = !self.is_query_quarantined(fingerprint, now);
+        is_admitted.then(|| self.known_strikes(fingerprint, now))
+    }
+
     /// Records a crash of a target against the queries that may have caused it; `others` were in flight there too, but the
     /// crash was recorded against them before, or they are not suspected.
     ///
--- a/crates/limpet-gateway/src/frontend/handler.rs
+++ b/crates/limpet-gateway/src/frontend/handler.rs
@@ -178,19 +178,11 @@
 }
 
 /// Reserves the memory of a merged answer until it is sent; that of a reply was reserved when it arrived.
-fn reserve_answer(shared: &SharedState, answer: Answer) -> Answer {
-    match answer {
-        Answer::Gathered {
-            signatures,
-            missing_count,
-            body,
-        } => Answer::Gathered {
-            signatures,
-            missing_count,
-            body: shared.body_memory.reserve(body),
-        },
-        Answer::Reply(reply) => Answer::Reply(reply),
+fn reserve_answer(shared: &SharedState, mut answer: Answer) -> Answer {
+    if let Answer::Gathered { body, .. } = &mut answer {
+        *body = shared.body_memory.reserve(std::mem::take(body));
     }
+    answer
 }
 
 /// Returns the timeout that the caller sent, if any.
@@ -285,17 +277,10 @@
         request_id,
     };
     let fingerprint = request_fingerprint(&request, host, team.as_deref());
-    let (is_quarantined, known_strikes) = {
-        let strike_table = shared.strike_table();
-        let now = shared.now();
-        (
-            strike_table.is_query_quarantined(fingerprint, now),
-            strike_table.known_strikes(fingerprint, now),
-        )
-    };
-    if is_quarantined {
-        return Err(RequestError::not_run(RequestErrorKind::Quarantined));
-    }
+    let known_strikes = shared
+        .strike_table()
+        .admit_query(fingerprint, shared.now())
+        .ok_or_else(|| RequestError::not_run(RequestErrorKind::Quarantined))?;
     let caller_waited = caller_timeout.map_or(Duration::ZERO, |caller_timeout| {
         let team = team.as_deref().unwrap_or_default();
         shared.record_caller_timeout(&route, team, caller_timeout)
--- a/crates/limpet-gateway/src/log.rs
+++ b/crates/limpet-gateway/src/log.rs
@@ -21,7 +21,8 @@
 /// Interval between two reports of dropped lines.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Handle of the running log; dropping it, or better [`Log::flush_within`], flushes the buffered lines.
+/// Handle of the running log. [`Log::flush_within`] ends it; dropping it also writes the buffered lines, but waits for the
+/// output.
 #[derive(Debug)]
 pub struct Log {
     drop_counter: ErrorCounter,
--- a/crates/limpet-gateway/src/members/gossip.rs
+++ b/crates/limpet-gateway/src/members/gossip.rs
@@ -160,7 +160,7 @@
     async fn handle_received(&self, datagram: &[u8], from: SocketAddr) {
         let relayed = datagram.strip_prefix(&[RELAY_MARKER]);
         let new_addr = self.handle_datagram(relayed.unwrap_or(datagram), from);
-        // One with a second marker would be passed on by each receiver again, to all others of the zone.
+        // A datagram with a second marker is not relayed: each receiver would relay it again to its whole zone.
         if let Some(bytes) = relayed.filter(|bytes| !bytes.starts_with(&[RELAY_MARKER])) {
             self.relay(bytes, from).await;
         }
--- a/crates/limpet-gateway/src/query/aggregation.rs
+++ b/crates/limpet-gateway/src/query/aggregation.rs
@@ -55,21 +55,16 @@
     let Some(outgoing_request) = build_outgoing_request(&request) else {
         return GatherReply::Refused(GatherRefusal::OtherConfig);
     };
-    let (is_quarantined, known_strikes) = {
-        let strike_table = shared.strike_table();
-        let now = shared.now();
-        (
-            strike_table.is_query_quarantined(request.fingerprint, now),
-            strike_table.known_strikes(request.fingerprint, now),
-        )
-    };
+    let known_strikes = shared
+        .strike_table()
+        .admit_query(request.fingerprint, shared.now());
     // The process that sent the query may not have heard of the strikes yet.
-    if is_quarantined {
+    let Some(known_strikes) = known_strikes else {
         return GatherReply::Failed {
             is_timed_out: false,
             is_not_run: true,
         };
-    }
+    };
     // Counts the query for a planned stop; whether it is refused is decided by its queue.
     let _guard = shared.aggregation_slots.begin();
     let now = Instant::now();
--- a/crates/limpet-gateway/src/query/attempt.rs
+++ b/crates/limpet-gateway/src/query/attempt.rs
@@ -62,12 +62,12 @@
     is_needed: impl Fn() -> bool,
 ) -> Result<TargetReply, AttemptError> {
     let shared = &query.shared;
-    let mean_latency = shared.with_route_latency(&query.route.name, |latency| latency.mean());
+    let mean_latency = query.mean_latency();
     let in_flight = InFlightGuard::new(shared, target, mean_latency);
     let mut timer = AttemptTimer::new(query, target);
     let result = exchange(query, target, connections_limit, is_needed).await;
     let (latency, now) = timer.stop();
-    let mean_latency = shared.with_route_latency(&query.route.name, |latency| latency.mean());
+    let mean_latency = query.mean_latency();
     let is_rejected = matches!(&result, Err(error) if error.kind == AttemptErrorKind::NotRun);
     query.run_statistics.record_part(is_rejected);
     if result.is_ok() {
@@ -162,11 +162,7 @@
             return;
         }
         let (waited, now) = self.stop();
-        let route = &self.query.route.name;
-        let mean_latency = self
-            .query
-            .shared
-            .with_route_latency(route, |latency| latency.mean());
+        let mean_latency = self.query.mean_latency();
         let Some(mean_latency) = mean_latency.filter(|mean| waited > *mean * NO_REPLY_MEAN_FACTOR)
         else {
             return;
--- a/crates/limpet-gateway/src/query/crash_check.rs
+++ b/crates/limpet-gateway/src/query/crash_check.rs
@@ -14,10 +14,7 @@
     },
 };
 
-use super::{
-    QueryContext,
-    crash_risk::CrashRisk, //
-};
+use super::QueryContext;
 use crate::target::{
     ConfirmedCrash,
     Target, //
@@ -45,14 +42,14 @@
 /// A broken connection alone does not show a crash, since the target may still be up. Only a target that no
 /// longer listens counts as crashed. While a check of the target is running, the attempt only joins it.
 pub(super) fn check_for_crash(query: &QueryContext, target: &Arc<Target>) {
-    let attempt = CrashRisk::record_failure(query, target);
+    let attempt = query.crash_risk.record_failure(query, target);
     if !target.crash_watch.add(attempt) {
         return;
     }
     let shared = Arc::clone(&query.shared);
     let task_shared = Arc::clone(&shared);
     let target = Arc::clone(target);
-    task_shared.spawn_background(async move {
+    task_shared.background_tasks.spawn(async move {
         sleep(CRASH_CHECK_DELAY).await;
         let connect_result = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(target.addr)).await;
         let is_listening =
--- a/crates/limpet-gateway/src/query/crash_risk.rs
+++ b/crates/limpet-gateway/src/query/crash_risk.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, OnceLock, PoisonError,
+        Arc, Mutex, PoisonError,
         atomic::{
             AtomicBool,
             Ordering, //
@@ -23,26 +23,21 @@
 #[derive(Debug, Default)]
 pub struct CrashRisk {
     /// Whether a target has replied to an attempt of the run: a query that crashes targets crashes each of them.
-    has_reply: OnceLock<Arc<AtomicBool>>,
+    has_reply: Arc<AtomicBool>,
     /// Number of attempts without a valid reply by service.
     failure_counts: Mutex<HashMap<Box<str>, usize>>,
 }
 
 impl CrashRisk {
-    fn has_reply(&self) -> &Arc<AtomicBool> {
-        self.has_reply.get_or_init(Arc::default)
-    }
-
     /// Records that a target replied.
     pub(super) fn record_reply(&self) {
-        self.has_reply().store(true, Ordering::Relaxed);
+        self.has_reply.store(true, Ordering::Relaxed);
     }
 
-    /// Records an attempt of `query` without a valid reply.
-    pub(super) fn record_failure(query: &QueryContext, target: &Target) -> FailedAttempt {
-        let crash_risk = &query.crash_risk;
+    /// Records an attempt of `query`, whose run this is, without a valid reply.
+    pub(super) fn record_failure(&self, query: &QueryContext, target: &Target) -> FailedAttempt {
         let earlier_failures = {
-            let mut failure_counts = crash_risk
+            let mut failure_counts = self
                 .failure_counts
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
@@ -58,7 +53,7 @@
                 earlier_failures,
             },
             request_id: query.request_id().into(),
-            has_reply: Arc::clone(crash_risk.has_reply()),
+            has_reply: Arc::clone(&self.has_reply),
         }
     }
 }
--- a/crates/limpet-gateway/src/query/detached_attempts.rs
+++ b/crates/limpet-gateway/src/query/detached_attempts.rs
@@ -47,7 +47,7 @@
         return;
     }
     let room = Arc::clone(room);
-    shared.spawn_background(async move {
+    shared.background_tasks.spawn(async move {
         let mut wanted = pin!(room.wanted.notified());
         // A request may have begun to wait before this task listens for the notification.
         wanted.as_mut().enable();
--- a/crates/limpet-gateway/src/query/query_context.rs
+++ b/crates/limpet-gateway/src/query/query_context.rs
@@ -88,6 +88,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the mean latency of an attempt of the route, `None` if it is not known yet.
+    pub fn mean_latency(&self) -> Option<Duration> {
+        self.shared
+            .with_route_latency(&self.route.name, |latency| latency.mean())
+    }
+
     /// Returns what the delay of a hedge depends on.
     pub fn hedge_timing(&self) -> HedgeTiming {
         let route = &self.route;
--- a/crates/limpet-gateway/src/query/service_attempts.rs
+++ b/crates/limpet-gateway/src/query/service_attempts.rs
@@ -218,7 +218,7 @@
                 if !error.kind.may_have_arrived() {
                     self.arrived_attempts = self.arrived_attempts.saturating_sub(1);
                 }
-                let may_retry = error.kind.allows_retry(self.query.route.is_idempotent());
+                let may_retry = is_not_run || self.query.route.is_idempotent();
                 (error.kind.label(), may_retry)
             }
         };
@@ -378,7 +378,9 @@
         let refusal_at =
             self.started_at + self.query.route.latency_goal.mul_f64(REFUSAL_GOAL_FRACTION);
         match wanted {
-            Wanted::First => latest.min(before_deadline(self.usual_duration())),
+            Wanted::First => latest.min(before_deadline(
+                self.query.mean_latency().unwrap_or_default(),
+            )),
             Wanted::Hedge(_) => latest,
             Wanted::Retry(_) if self.progress.may_have_run() => {
                 latest.min(self.query.goal_at.max(refusal_at))
@@ -387,14 +389,6 @@
         }
     }
 
-    /// Returns the usual duration of an attempt of the route; zero if it is not known.
-    fn usual_duration(&self) -> Duration {
-        let shared = &self.query.shared;
-        let mean_latency =
-            shared.with_route_latency(&self.query.route.name, |latency| latency.mean());
-        mean_latency.unwrap_or_default()
-    }
-
     /// Returns the rank of this request among those that wait.
     fn rank(&self) -> RetryRank {
         let goal_left = self.query.goal_at.saturating_duration_since(Instant::now());
--- a/crates/limpet-gateway/src/query/service_targets.rs
+++ b/crates/limpet-gateway/src/query/service_targets.rs
@@ -127,8 +127,7 @@
             return;
         }
         let shared = &self.query.shared;
-        let route = &self.query.route.name;
-        let mean_latency = shared.with_route_latency(route, |latency| latency.mean());
+        let mean_latency = self.query.mean_latency();
         if let Some(id) = self.asked.latest()
             && let Some(target) = shared.fleet().get(id)
         {
--- a/crates/limpet-gateway/src/shared_state.rs
+++ b/crates/limpet-gateway/src/shared_state.rs
@@ -286,11 +286,6 @@
         self.clock.suspend_aware_now()
     }
 
-    /// Runs a task beside the request that starts it; it is cancelled at the end of the process at the latest.
-    pub fn spawn_background(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.background_tasks.spawn(task);
-    }
-
     /// Locks the state of the deployment.
     pub fn deployment_state(&self) -> MutexGuard<'_, DeploymentState> {
         lock(&self.deployment_state)
--- a/crates/limpet-gateway/src/target/attempt_error.rs
+++ b/crates/limpet-gateway/src/target/attempt_error.rs
@@ -41,11 +41,6 @@
         )
     }
 
-    /// Returns whether another attempt may follow; `is_idempotent` tells whether the request may run twice.
-    pub const fn allows_retry(self, is_idempotent: bool) -> bool {
-        is_idempotent || self.is_not_run()
-    }
-
     /// Returns whether the request may have reached the target.
     pub const fn may_have_arrived(self) -> bool {
         !matches!(
