--- a/crates/limpet-gateway/tests/load_reports.rs
+++ b/crates/limpet-gateway/tests/load_reports.rs
@@ -19,7 +19,6 @@
         Gossip,
         Report, //
     },
-    rate::AdmissionCounts,
 };
 use limpet_types::{
     codec,
@@ -44,8 +43,11 @@
     PEER_PORT,
     RunningGateway,
     config,
+    decode_load_report,
     get,
     header_names,
+    load_datagram,
+    regular_report,
     route,
     settings,
     target_record,
@@ -67,19 +69,11 @@
 /// Time in which a process handles the datagrams that were sent to it.
 const HANDLING_TIME: Duration = Duration::from_millis(100);
 
-/// Returns the regular report that makes a process known.
-fn regular_report(addr: SocketAddr, is_leaving: bool) -> Vec<u8> {
+/// Returns the datagram of a regular report of the process that the tests play.
+fn regular_datagram(addr: SocketAddr, is_leaving: bool) -> Vec<u8> {
     let report = Report {
-        node: NODE,
-        addr,
         is_leaving,
-        admissions: AdmissionCounts {
-            is_complete: true,
-            teams: Vec::new(),
-        },
-        welcome: None,
-        known_addrs: Vec::new(),
-        strikes: Vec::new(),
+        ..regular_report(NODE, addr)
     };
     codec::encode(&report).unwrap()
 }
@@ -105,14 +99,6 @@
     }
 }
 
-fn datagram(report: &LoadReport) -> Vec<u8> {
-    [
-        &LOAD_REPORT_MARKER,
-        codec::encode(report).unwrap().as_slice(),
-    ]
-    .concat()
-}
-
 /// The exchange of reports of one process without the rest of it, and a socket of another process that it knows.
 struct Exchange {
     shared: Arc<SharedState>,
@@ -133,7 +119,7 @@
             peer,
             _tasks: tasks,
         };
-        let report = regular_report(exchange.peer_addr(), false);
+        let report = regular_datagram(exchange.peer_addr(), false);
         exchange.send(&report).await;
         exchange
     }
@@ -170,7 +156,7 @@
     deployment.publish_target("t", target_record("s", target.addr));
     let gateway = RunningGateway::start(&deployment).await;
     let peer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let report = regular_report(peer.local_addr().unwrap(), false);
+    let report = regular_datagram(peer.local_addr().unwrap(), false);
     peer.send_to(&report, gateway.peer_addr).await.unwrap();
     for _ in 0..5 {
         assert_eq!(get(gateway.caller_addr, "/one/a").await.status, 200);
@@ -179,8 +165,7 @@
     let received = async {
         loop {
             let size = peer.recv(&mut buffer).await.unwrap();
-            let encoded = buffer[..size].strip_prefix(&LOAD_REPORT_MARKER);
-            let report = encoded.map(|bytes| codec::decode::<LoadReport>(bytes).unwrap());
+            let report = decode_load_report(&buffer[..size]);
             if let Some(report) = report.filter(|report| !report.targets.is_empty()) {
                 return report;
             }
@@ -199,19 +184,19 @@
 async fn reported_load_is_used_until_the_sender_leaves_or_stops() {
     let exchange = Exchange::start().await;
     exchange
-        .send(&datagram(&load_report(exchange.peer_addr(), 1)))
+        .send(&load_datagram(&load_report(exchange.peer_addr(), 1)))
         .await;
     assert!(exchange.reported_in_flight() > 1.0);
     exchange
-        .send(&regular_report(exchange.peer_addr(), true))
+        .send(&regular_datagram(exchange.peer_addr(), true))
         .await;
     assert!(exchange.shared.peer_loads().is_empty(), "the process left");
 
     exchange
-        .send(&regular_report(exchange.peer_addr(), false))
+        .send(&regular_datagram(exchange.peer_addr(), false))
         .await;
     exchange
-        .send(&datagram(&load_report(exchange.peer_addr(), 2)))
+        .send(&load_datagram(&load_report(exchange.peer_addr(), 2)))
         .await;
     assert!(exchange.reported_in_flight() > 1.0);
     sleep(Duration::from_millis(3300)).await;
@@ -232,7 +217,7 @@
     exchange.send(&change(&exchange, report)).await;
     assert!(exchange.shared.peer_loads().is_empty());
     exchange
-        .send(&datagram(&load_report(exchange.peer_addr(), 2)))
+        .send(&load_datagram(&load_report(exchange.peer_addr(), 2)))
         .await;
     assert!(
         exchange.reported_in_flight() > 1.0,
@@ -244,27 +229,27 @@
     ignored:
     marker_alone => |_, _| LOAD_REPORT_MARKER.to_vec(),
     truncated_report => |_, report| {
-        let mut bytes = datagram(&report);
+        let mut bytes = load_datagram(&report);
         bytes.truncate(bytes.len() - 1);
         bytes
     },
-    bytes_after_the_report => |_, report| [datagram(&report), vec![0]].concat(),
+    bytes_after_the_report => |_, report| [load_datagram(&report), vec![0]].concat(),
     too_many_targets => |_, report| {
         let targets = vec![report.targets[0]; TARGETS_MAX + 1];
-        datagram(&LoadReport { targets, ..report })
+        load_datagram(&LoadReport { targets, ..report })
     },
     too_many_services => |_, report| {
         let service = ServiceUse { service: 1, requests_per_10_s: 1 };
-        datagram(&LoadReport { services: vec![service; SERVICES_MAX + 1], ..report })
+        load_datagram(&LoadReport { services: vec![service; SERVICES_MAX + 1], ..report })
     },
-    oversized_datagram => |_, report| [datagram(&report), vec![0; 8 << 10]].concat(),
+    oversized_datagram => |_, report| [load_datagram(&report), vec![0; 8 << 10]].concat(),
     unknown_sender => |_, report| {
         let addr = SocketAddr::from(([127, 0, 0, 1], 9));
-        datagram(&LoadReport { addr, ..report })
+        load_datagram(&LoadReport { addr, ..report })
     },
-    sender_of_another_start => |_, report| datagram(&LoadReport { node: NODE + 1, ..report }),
+    sender_of_another_start => |_, report| load_datagram(&LoadReport { node: NODE + 1, ..report }),
     own_address => |exchange, report| {
-        datagram(&LoadReport { addr: exchange.shared.settings.peer_addr, ..report })
+        load_datagram(&LoadReport { addr: exchange.shared.settings.peer_addr, ..report })
     },
 }
 
@@ -273,7 +258,7 @@
 async fn report_that_a_stranger_sends_is_ignored() {
     let exchange = Exchange::start().await;
     let stranger = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let report = datagram(&load_report(exchange.peer_addr(), 1));
+    let report = load_datagram(&load_report(exchange.peer_addr(), 1));
     let to = exchange.shared.settings.peer_addr;
     stranger.send_to(&report, to).await.unwrap();
     sleep(HANDLING_TIME).await;
@@ -285,7 +270,7 @@
 async fn mutated_reports_do_no_harm() {
     let exchange = Exchange::start().await;
     let mut rng = StdRng::seed_from_u64(SEED);
-    let report = datagram(&load_report(exchange.peer_addr(), 1));
+    let report = load_datagram(&load_report(exchange.peer_addr(), 1));
     for _ in 0..600 {
         let mut mutated = report.clone();
         for _ in 0..rng.random_range(1..5) {
@@ -300,7 +285,7 @@
     // A mutated report may have stated a late sequence number; it is forgotten after a while.
     sleep(Duration::from_millis(3300)).await;
     exchange
-        .send(&datagram(&load_report(exchange.peer_addr(), 2)))
+        .send(&load_datagram(&load_report(exchange.peer_addr(), 2)))
         .await;
     assert!(exchange.reported_in_flight() > 1.0);
 }
--- a/crates/limpet-gateway/tests/load_work.rs
+++ b/crates/limpet-gateway/tests/load_work.rs
@@ -16,15 +16,7 @@
     peer_load::name_hash,
     spread::DIRECT_PROCESSES_MAX, //
 };
-use limpet_gateway::{
-    SharedState, admin,
-    admin::Endpoints,
-    members::{
-        Gossip,
-        Report, //
-    },
-    rate::AdmissionCounts,
-};
+use limpet_gateway::{SharedState, admin, admin::Endpoints, members::Gossip};
 use limpet_types::{
     codec,
     deployment::{
@@ -35,7 +27,6 @@
     },
     message::{
         GatherLoad,
-        LOAD_REPORT_MARKER,
         LoadReport,
         TargetUse, //
     },
@@ -49,8 +40,11 @@
     PEER_PORT,
     RunningGateway,
     config,
+    decode_load_report,
     get,
     header_names,
+    load_datagram,
+    regular_report,
     route,
     settings,
     target_record,
@@ -78,29 +72,13 @@
 /// Time of several rounds of the exchange.
 const SOME_ROUNDS_TIME: Duration = Duration::from_millis(500);
 
-/// Returns the regular report that makes a process known.
-fn regular_report(addr: SocketAddr) -> Vec<u8> {
-    let report = Report {
-        node: NODE,
-        addr,
-        is_leaving: false,
-        admissions: AdmissionCounts {
-            is_complete: true,
-            teams: Vec::new(),
-        },
-        welcome: None,
-        known_addrs: Vec::new(),
-        strikes: Vec::new(),
-    };
-    codec::encode(&report).unwrap()
-}
-
 /// Makes the process at `to` know `peer` and `peer_count - 1` processes that do not exist.
 async fn introduce(peer: &UdpSocket, to: SocketAddr, peer_count: u8) {
     let peer_addr = peer.local_addr().unwrap();
     let absent = (1..peer_count).map(|index| SocketAddr::from(([127, 250, 0, index], 9)));
     for addr in absent.chain([peer_addr]) {
-        peer.send_to(&regular_report(addr), to).await.unwrap();
+        let report = codec::encode(&regular_report(NODE, addr)).unwrap();
+        peer.send_to(&report, to).await.unwrap();
     }
     sleep(HANDLING_TIME).await;
 }
@@ -121,8 +99,7 @@
             mean_in_flight_1000ths: u16::from(in_flight) * 1000,
         }],
     };
-    let encoded = codec::encode(&report).unwrap();
-    [&LOAD_REPORT_MARKER, encoded.as_slice()].concat()
+    load_datagram(&report)
 }
 
 /// The exchange of reports of one process without the rest of it, a target `t`, and a socket of another process.
@@ -379,8 +356,7 @@
         assert_eq!(get(gateway.caller_addr, "/one/a").await.status, 200);
         sleep(Duration::from_millis(20)).await;
         while let Ok(size) = peer.try_recv(&mut buffer) {
-            let encoded = buffer[..size].strip_prefix(&LOAD_REPORT_MARKER);
-            reports.extend(encoded.map(|bytes| codec::decode::<LoadReport>(bytes).unwrap()));
+            reports.extend(decode_load_report(&buffer[..size]));
         }
     }
     assert!(reports.iter().all(|report| report.targets.is_empty()));
--- a/crates/limpet-gateway/tests/odd_input.rs
+++ b/crates/limpet-gateway/tests/odd_input.rs
@@ -50,6 +50,7 @@
     config,
     get,
     header_names,
+    regular_report,
     route,
     settings,
     target_record,
@@ -194,18 +195,7 @@
     let (gateway, _target) = start_gateway().await;
     let neighbour = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let neighbour_addr = neighbour.local_addr().unwrap();
-    let report = Report {
-        node: 7,
-        addr: neighbour_addr,
-        is_leaving: false,
-        admissions: AdmissionCounts {
-            is_complete: true,
-            teams: Vec::new(),
-        },
-        welcome: None,
-        known_addrs: Vec::new(),
-        strikes: Vec::new(),
-    };
+    let report = regular_report(7, neighbour_addr);
     let announcement = Announcement {
         addr: neighbour_addr,
         zone: "zone-a".into(),
--- a/crates/limpet-gateway/tests/query_work.rs
+++ b/crates/limpet-gateway/tests/query_work.rs
@@ -8,21 +8,14 @@
     time::Duration, //
 };
 
-use limpet_gateway::{
-    gateway,
-    members::Report,
-    rate::AdmissionCounts, //
-};
+use limpet_gateway::gateway;
 use limpet_types::{
     codec,
     deployment::{
         Idempotency,
         Route, //
     },
-    message::{
-        LOAD_REPORT_MARKER,
-        LoadReport, //
-    },
+    message::LoadReport,
 };
 use metrics_exporter_prometheus::PrometheusBuilder;
 use support::{
@@ -33,8 +26,10 @@
     PEER_PORT,
     RunningGateway,
     config,
+    decode_load_report,
     get,
     header_names,
+    regular_report,
     route,
     scatter_gather_route,
     settings,
@@ -161,8 +156,7 @@
     let mut receive = async |wanted: fn(&LoadReport) -> bool| {
         loop {
             let size = peer.recv(&mut buffer).await.unwrap();
-            let encoded = buffer[..size].strip_prefix(&LOAD_REPORT_MARKER);
-            let report = encoded.map(|bytes| codec::decode::<LoadReport>(bytes).unwrap());
+            let report = decode_load_report(&buffer[..size]);
             if report.is_some_and(|report| wanted(&report)) {
                 return;
             }
@@ -180,18 +174,7 @@
 
 /// Makes the process at `to` know the process with the socket `peer`.
 async fn introduce(peer: &UdpSocket, to: SocketAddr) {
-    let report = Report {
-        node: 7,
-        addr: peer.local_addr().unwrap(),
-        is_leaving: false,
-        admissions: AdmissionCounts {
-            is_complete: true,
-            teams: Vec::new(),
-        },
-        welcome: None,
-        known_addrs: Vec::new(),
-        strikes: Vec::new(),
-    };
+    let report = regular_report(7, peer.local_addr().unwrap());
     let report = codec::encode(&report).unwrap();
     peer.send_to(&report, to).await.unwrap();
 }
--- a/crates/limpet-gateway/tests/support/fake_peer.rs
+++ b/crates/limpet-gateway/tests/support/fake_peer.rs
@@ -6,13 +6,7 @@
     time::Duration, //
 };
 
-use limpet_gateway::{
-    members::{
-        Announcement,
-        Report, //
-    },
-    rate::AdmissionCounts,
-};
+use limpet_gateway::members::Announcement;
 use limpet_peer::PeerServer;
 use limpet_types::{
     codec,
@@ -30,7 +24,10 @@
     time::sleep,
 };
 
-use super::PEER_PORT;
+use super::{
+    PEER_PORT,
+    regular_report, //
+};
 
 /// Time between two reports of a fake peer.
 const REPORT_INTERVAL: Duration = Duration::from_millis(20);
@@ -95,18 +92,7 @@
     report_to: &[SocketAddr],
 ) -> JoinHandle<()> {
     let socket = UdpSocket::bind(addr).await.unwrap();
-    let report = Report {
-        node: rand::random(),
-        addr,
-        is_leaving: false,
-        admissions: AdmissionCounts {
-            is_complete: true,
-            teams: Vec::new(),
-        },
-        welcome: None,
-        known_addrs: Vec::new(),
-        strikes: Vec::new(),
-    };
+    let report = regular_report(rand::random(), addr);
     let report = codec::encode(&report).unwrap();
     let announcement = Announcement {
         addr,
--- a/crates/limpet-gateway/tests/support/mod.rs
+++ b/crates/limpet-gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 mod counting_recorder;
 mod deployment;
 mod fake_peer;
+mod reports;
 mod slow_reader;
 mod target;
 
@@ -32,6 +33,11 @@
         unused_loopback_ip, //
     },
     fake_peer::FakePeer,
+    reports::{
+        decode_load_report,
+        load_datagram,
+        regular_report, //
+    },
     slow_reader::{
         IDLE_TIMEOUT,
         LARGE_ANSWER_BYTES,
--- a/crates/limpet-peer/tests/calls.rs
+++ b/crates/limpet-peer/tests/calls.rs
@@ -81,12 +81,8 @@
     }
 }
 
-/// Guards against a peer that was suspended and keeps the memory of the replies to it for good: its kernel keeps the
-/// connection open.
-#[tokio::test(start_paused = true)]
-async fn a_reply_to_a_peer_that_reads_nothing_is_dropped() {
-    const REPLY_BYTES: usize = 1 << 20;
-    let (listener, addr) = bind_listener().await;
+/// Answers each call with a reply of `reply_bytes`; the signal tells that the guard of a reply is dropped.
+fn serve_guarded_reply(listener: TcpListener, reply_bytes: usize) -> (PeerServer, Arc<Notify>) {
     let drop_signal = Arc::new(Notify::new());
     let handler_drop_signal = Arc::clone(&drop_signal);
     let server = serve(listener, move |_| {
@@ -94,7 +90,7 @@
         let reply = GatherReply::Gathered {
             signatures: Vec::new(),
             missing_count: 0,
-            body: vec![0; REPLY_BYTES],
+            body: vec![0; reply_bytes],
         };
         async move {
             GuardedReply {
@@ -103,6 +99,16 @@
             }
         }
     });
+    (server, drop_signal)
+}
+
+/// Guards against a peer that was suspended and keeps the memory of the replies to it for good: its kernel keeps the
+/// connection open.
+#[tokio::test(start_paused = true)]
+async fn a_reply_to_a_peer_that_reads_nothing_is_dropped() {
+    const REPLY_BYTES: usize = 1 << 20;
+    let (listener, addr) = bind_listener().await;
+    let (server, drop_signal) = serve_guarded_reply(listener, REPLY_BYTES);
     let stream = TcpStream::connect(addr).await.unwrap();
     let (mut sender, connection) = h2::client::handshake(stream).await.unwrap();
     let driver = tokio::spawn(connection);
@@ -138,22 +144,7 @@
     // Accepted connections inherit the size of the buffer.
     let listener = socket.listen(16).unwrap();
     let addr = listener.local_addr().unwrap();
-    let drop_signal = Arc::new(Notify::new());
-    let handler_drop_signal = Arc::clone(&drop_signal);
-    let server = serve(listener, move |_| {
-        let guard = NotifyOnDrop(Arc::clone(&handler_drop_signal));
-        let reply = GatherReply::Gathered {
-            signatures: Vec::new(),
-            missing_count: 0,
-            body: vec![0; reply_bytes],
-        };
-        async move {
-            GuardedReply {
-                reply: PeerReply::Gather(reply),
-                guard: Some(Box::new(guard)),
-            }
-        }
-    });
+    let (server, drop_signal) = serve_guarded_reply(listener, reply_bytes);
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES).unwrap();
     let stream = socket.connect(addr).await.unwrap();
@@ -211,10 +202,8 @@
     server.stop().await;
 }
 
-/// Guards against a stop that waits for streams and connections which do not end, and against tasks that outlive it.
-#[tokio::test]
-async fn a_stop_by_a_time_ends_the_streams_in_flight() {
-    let (listener, addr) = bind_listener().await;
+/// Serves calls without ever replying; returns the server, and the signals of the start and the end of a handler.
+fn serve_without_reply(listener: TcpListener) -> (PeerServer, Arc<Notify>, Arc<Notify>) {
     let (start_signal, drop_signal) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
     let (handler_start_signal, handler_drop_signal) =
         (Arc::clone(&start_signal), Arc::clone(&drop_signal));
@@ -227,6 +216,14 @@
             std::future::pending::<PeerReply>().await
         }
     });
+    (server, start_signal, drop_signal)
+}
+
+/// Guards against a stop that waits for streams and connections which do not end, and against tasks that outlive it.
+#[tokio::test]
+async fn a_stop_by_a_time_ends_the_streams_in_flight() {
+    let (listener, addr) = bind_listener().await;
+    let (server, start_signal, drop_signal) = serve_without_reply(listener);
     let _silent = TcpStream::connect(addr).await.unwrap();
     let client = PeerClient::new();
     let calling_client = client.clone();
@@ -250,18 +247,7 @@
 #[tokio::test]
 async fn a_dropped_call_cancels_the_handler() {
     let (listener, addr) = bind_listener().await;
-    let (start_signal, drop_signal) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
-    let (handler_start_signal, handler_drop_signal) =
-        (Arc::clone(&start_signal), Arc::clone(&drop_signal));
-    let server = serve(listener, move |_| {
-        let guard = NotifyOnDrop(Arc::clone(&handler_drop_signal));
-        let start_signal = Arc::clone(&handler_start_signal);
-        async move {
-            let _guard = guard;
-            start_signal.notify_one();
-            std::future::pending::<PeerReply>().await
-        }
-    });
+    let (server, start_signal, drop_signal) = serve_without_reply(listener);
     let client = PeerClient::new();
     tokio::select! {
         _ = client.call(addr, &PeerRequest::Status, TEST_TIMEOUT) => panic!("unexpected end of the call"),
